--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,31 @@
+# Each tests/NAME_test.cpp is one program and one CTest test called NAME. Those
+# in tests/daemon link the daemon's modules too.
+enable_testing()
+
+function(lentilcross_add_test source)
+  get_filename_component(file ${source} NAME_WE)
+  string(REGEX REPLACE "_test$" "" name ${file})
+  add_executable(${file} ${source})
+  target_include_directories(${file} PRIVATE ${CMAKE_SOURCE_DIR}/src
+                                             ${CMAKE_SOURCE_DIR}/tests)
+  target_compile_definitions(
+    ${file} PRIVATE BOOST_TEST_DYN_LINK
+                    BOOST_TEST_MODULE=${name}
+                    TEST_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+  target_link_libraries(${file} PRIVATE ${ARGN} lentilcross_core rapidcheck
+                                        Boost::unit_test_framework)
+  add_test(NAME ${name} COMMAND ${file})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 120)
+endfunction()
+
+file(GLOB core_tests CONFIGURE_DEPENDS tests/*_test.cpp)
+foreach(source ${core_tests})
+  lentilcross_add_test(${source})
+endforeach()
+
+if(TARGET lentilcross_daemon)
+  file(GLOB daemon_tests CONFIGURE_DEPENDS tests/daemon/*_test.cpp)
+  foreach(source ${daemon_tests})
+    lentilcross_add_test(${source} lentilcross_daemon)
+  endforeach()
+endif()
--- /dev/null
+++ b/include/lentilcross/config.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// Compile-time limits. Define a macro before including this header, or with -D,
+// to override it. Sizes are in bytes, times in milliseconds unless named
+// otherwise.
+
+#ifndef LENTILCROSS_CONFIG_MAX_DEPTH
+#define LENTILCROSS_CONFIG_MAX_DEPTH 32
+#endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_PEER_MESSAGE
+#define LENTILCROSS_CONFIG_MAX_PEER_MESSAGE (1024 * 1024)
+#endif
+
+// Largest HTTP body of a request or an answer; leaves room for the envelope in
+// one peer message.
+#ifndef LENTILCROSS_CONFIG_MAX_BODY
+#define LENTILCROSS_CONFIG_MAX_BODY (960 * 1024)
+#endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_USED_TICKETS
+#define LENTILCROSS_CONFIG_MAX_USED_TICKETS 65536
+#endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_TICKETS_PER_REQUEST
+#define LENTILCROSS_CONFIG_MAX_TICKETS_PER_REQUEST 64
+#endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_KEPT_ANSWER
+#define LENTILCROSS_CONFIG_MAX_KEPT_ANSWER 4096
+#endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_QUEUED_CALLS
+#define LENTILCROSS_CONFIG_MAX_QUEUED_CALLS 1024
+#endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_CONFIGURATION
+#define LENTILCROSS_CONFIG_MAX_CONFIGURATION (1024 * 1024)
+#endif
+
+#ifndef LENTILCROSS_CONFIG_KEPT_DELTAS
+#define LENTILCROSS_CONFIG_KEPT_DELTAS 256
+#endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES
+#define LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES 16
+#endif
+
+#ifndef LENTILCROSS_CONFIG_RING_CAPACITY
+#define LENTILCROSS_CONFIG_RING_CAPACITY 1024
+#endif
--- /dev/null
+++ b/include/lentilcross/peer_message.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "lentilcross/context.h"
+#include "lentilcross/error.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+inline constexpr int kPeerProtocolVersion = 1;
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+/// Shedding level of a service: requests that rank below it are refused.
+struct ServiceLevel {
+  ServiceId service;
+  std::uint32_t level = 0;
+};
+
+/// First message on a link, from both sides.
+struct Hello {
+  HostId host;
+  Incarnation incarnation;
+  FailureDomainId failure_domain;
+  Version version;
+  std::array<std::uint8_t, 16> nonce{};
+};
+
+/// HMAC-SHA-256 over both nonces and the sender's identity, by a peer key.
+struct Proof {
+  Sha256Digest mac{};
+};
+
+/// A request on its way to a target, or to the issuer of its ticket.
+struct Call {
+  CallNumber number;
+  RequestContext context;
+  RouteId route;
+  ServiceId service;
+  std::string method;
+  std::string path;
+  Headers headers;
+  std::string body;
+  Duration remaining{};
+  std::uint16_t extra_attempts = 0;
+  bool idempotent = true;
+  bool to_ticket_issuer = false;  ///< The receiver routes it further.
+};
+
+/// Answer to a call: either an answer of the target (`refusal.reason` is
+/// `kNone`) or a refusal.
+struct Reply {
+  CallNumber number;
+  std::uint16_t status = 0;
+  Headers headers;
+  std::string body;
+  Refusal refusal;
+  std::uint16_t extra_attempts_left = 0;
+  bool attempts_exhausted = false;
+  std::vector<ServiceLevel> levels;
+};
+
+struct Cancel {
+  CallNumber number;
+};
+
+struct CancelAck {
+  CallNumber number;
+  bool never_run = false;  ///< True: the call was fenced before any byte.
+};
+
+enum class MemberState : std::uint8_t { kAlive, kSuspected, kLeaving, kLeft };
+
+struct MemberUpdate {
+  HostId host;
+  Incarnation incarnation;
+  MemberState state = MemberState::kAlive;
+  std::uint32_t sequence = 0;  ///< Higher wins within one incarnation.
+};
+
+struct Digest {
+  Version version;
+  Duration platform_age{};  ///< Since the last read of the platform known here.
+  std::vector<MemberUpdate> members;
+};
+
+struct ConfigRequest {
+  Version have;
+};
+
+/// Changes between two versions, as entries of the published document.
+struct ConfigDelta {
+  Version from;
+  Version to;
+  std::string entries;  ///< CBOR of a JSON Patch (RFC 6902).
+};
+
+/// Part of a whole document, for a peer too far behind for deltas.
+struct ConfigSnapshot {
+  Version version;
+  std::uint32_t piece = 0;
+  std::uint32_t pieces = 1;
+  std::string bytes;
+};
+
+/// Right to generate tokens of one organisation.
+struct Quota {
+  double rate = 0;   ///< Tokens per second.
+  double burst = 0;  ///< Tokens.
+};
+
+struct LoanAsk {
+  OrganisationId organisation;
+  Quota want;
+};
+
+struct LoanRequest {
+  std::uint32_t number = 0;
+  std::vector<LoanAsk> asks;
+};
+
+struct Loan {
+  OrganisationId organisation;
+  Quota quota;
+  double tokens = 0;
+};
+
+/// Answer to a `LoanRequest`. The borrower counts `term` from when it asked.
+struct LoanGrant {
+  std::uint32_t number = 0;
+  Duration term{};
+  std::vector<Loan> loans;
+};
+
+/// Gives loans of one grant back early. The tokens are those still unused.
+struct LoanReturn {
+  std::uint32_t number = 0;
+  std::vector<Loan> loans;
+};
+
+struct Leave {
+  HostId host;
+  Incarnation incarnation;
+};
+
+struct Ping {
+  std::uint32_t number = 0;
+};
+
+struct Pong {
+  std::uint32_t number = 0;
+};
+
+using PeerMessage =
+    std::variant<Hello, Proof, Call, Reply, Cancel, CancelAck, Digest,
+                 ConfigRequest, ConfigDelta, ConfigSnapshot, LoanRequest,
+                 LoanGrant, LoanReturn, Leave, Ping, Pong>;
+
+/// CBOR bytes of a message.
+std::string Encode(const PeerMessage& message);
+
+/// Decodes one message. The error carries a `DecodeError`: garbage, truncation,
+/// a wrong protocol version, a wrong type, a value out of range, or more than
+/// `LENTILCROSS_CONFIG_MAX_PEER_MESSAGE` bytes.
+Result<PeerMessage> Decode(std::string_view bytes);
+
+}  // namespace lentilcross
--- /dev/null
+++ b/include/lentilcross/tickets.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "lentilcross/config.h"
+#include "lentilcross/error.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+/// Tickets for non-idempotent requests. A ticket is valid only at the process
+/// that issued it and runs at most one request.
+class TicketBook {
+ public:
+  struct Init {
+    HostId self;
+    Incarnation incarnation;
+    Sha256Digest secret{};  ///< Random, never leaves the process.
+    Duration lifetime = std::chrono::minutes(10);
+    std::size_t max_used = LENTILCROSS_CONFIG_MAX_USED_TICKETS;
+    std::size_t max_kept_answers = 4096;
+  };
+  struct Stats {
+    std::uint64_t issued = 0;
+    std::uint64_t used = 0;
+    std::uint64_t freed = 0;  ///< Proven not run; usable again.
+    std::uint64_t repeats = 0;
+    std::uint64_t refused_full = 0;
+  };
+  /// Where a ticket must be presented.
+  struct Issuer {
+    HostId host;
+    Incarnation incarnation;
+  };
+  struct Answer {
+    std::uint16_t status = 0;
+    std::string content_type;
+    std::string body;
+  };
+  /// Result of presenting a ticket. `reason` is `kNone` when the request may
+  /// run now, `kAlreadyRun` with `answer` when the kept answer is returned.
+  struct Use {
+    Reason reason = Reason::kNone;
+    std::uint64_t serial = 0;
+    std::optional<Answer> answer;
+  };
+
+  static Result<TicketBook> Create(const Init& init);
+
+  std::string Issue(OrganisationId organisation, Instant now);
+  /// Reads the issuer without proving the ticket. Empty if it is no ticket.
+  static std::optional<Issuer> ParseIssuer(std::string_view ticket);
+
+  /// Claims the ticket for one run of (organisation, route).
+  Use Claim(std::string_view ticket, OrganisationId organisation, RouteId route,
+            Instant now);
+  /// The request was proven not to have run; the ticket may be claimed again.
+  void Free(std::uint64_t serial);
+  void Finish(std::uint64_t serial, Answer answer);
+  /// The outcome stays unknown; the ticket stays used.
+  void FinishUnknown(std::uint64_t serial);
+
+  std::size_t used() const;
+  const Stats& stats() const { return stats_; }
+
+ private:
+  explicit TicketBook(const Init& init) : init_(init) {}
+
+  Init init_;
+  Stats stats_;
+};
+
+}  // namespace lentilcross
