--- /dev/null
+++ b/src/daemon_init.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "daemon_stats.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+/// TCP address. Port 0 asks the system for a free port.
+struct Endpoint {
+  std::string ip = "127.0.0.1";
+  std::uint16_t port = 0;
+};
+
+/// A target on the daemon's own host.
+struct LocalTarget {
+  std::string name;
+  std::string service;
+  Endpoint address;
+};
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarn, kError };
+
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
+/// A log event: level, event name (words with hyphens), fields. Called on the
+/// threads `data` and `control`; must not block. Fields carry no secret.
+using LogHook =
+    std::function<void(LogLevel, const std::string& event, const LogFields&)>;
+
+struct AuditKey {
+  std::string name;
+  std::string organisation;
+  bool withdrawn = false;
+};
+
+struct AuditRate {
+  std::string organisation;
+  double rate = 0;
+  double burst = 0;
+};
+
+/// One configuration version taken over.
+struct AuditRecord {
+  Version version;
+  std::string preset;
+  std::vector<AuditKey> keys;
+  std::vector<AuditRate> rates;
+  std::string source;  ///< Host name of a peer, or "ip:port" of the platform.
+  std::chrono::system_clock::time_point taken_over{};
+};
+
+/// Called on the thread `control`; must not block.
+using AuditHook = std::function<void(const AuditRecord&)>;
+
+/// Called on the thread `data` once per second and at each change of the
+/// readiness; must not block.
+using StatsHook = std::function<void(const DaemonStats&)>;
+
+/// Everything a daemon needs to start. The settings file fills it; see section
+/// 11 of the design.
+struct DaemonInit {
+  std::string host;
+  std::string failure_domain;
+  std::string region;
+
+  Endpoint caller;
+  Endpoint onward;
+  Endpoint peer;
+
+  std::vector<LocalTarget> targets;
+  std::vector<Endpoint> platform;
+  std::vector<std::string> peer_keys;  ///< One or two, raw bytes. The first
+                                       ///< signs, all are accepted.
+  std::vector<Endpoint> seeds;         ///< Peers to ask at start.
+
+  Duration startup_wait = std::chrono::seconds(3);
+  Duration key_staleness_limit = std::chrono::seconds(600);  ///< 0: never.
+  Duration rate_handover = std::chrono::seconds(10);
+  Duration loan_term = std::chrono::seconds(2);
+  Duration drain_timeout{};  ///< 0: no limit.
+
+  std::uint64_t random_seed = 0;  ///< 0: from the system's random source.
+
+  LogHook on_log;
+  AuditHook on_audit;
+  StatsHook on_stats;
+};
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/daemon_stats.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lentilcross/admission.h"
+#include "lentilcross/dispatch.h"
+#include "lentilcross/error.h"
+#include "lentilcross/findings.h"
+#include "lentilcross/membership.h"
+#include "lentilcross/rate.h"
+#include "lentilcross/retry.h"
+#include "lentilcross/routing.h"
+#include "lentilcross/shedding.h"
+#include "lentilcross/spread.h"
+#include "lentilcross/tickets.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+struct PeerLinkStats {
+  std::uint64_t dialled = 0;
+  std::uint64_t accepted = 0;
+  std::uint64_t authenticated = 0;
+  std::uint64_t refused_proof = 0;     ///< Wrong key or wrong identity.
+  std::uint64_t refused_messages = 0;  ///< Malformed, oversize, wrong version.
+  std::uint64_t silent = 0;            ///< Closed after silence.
+  std::uint64_t closed = 0;
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t queue_full = 0;
+};
+
+struct HttpFrontStats {
+  std::uint64_t connections = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t malformed = 0;
+  std::uint64_t disconnects = 0;  ///< Caller gone before its answer.
+  std::uint64_t refused_connections = 0;
+};
+
+struct TargetClientStats {
+  std::uint64_t connects = 0;
+  std::uint64_t connect_failures = 0;
+  std::uint64_t reused = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t failed_unsent = 0;  ///< Proven that no byte left.
+  std::uint64_t failed_sent = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t pool_full = 0;
+};
+
+struct PipelineStats {
+  std::uint64_t entry_requests = 0;
+  std::uint64_t onward_requests = 0;
+  std::uint64_t peer_calls = 0;
+  std::uint64_t answered = 0;  ///< With an answer of a target.
+  std::array<std::uint64_t, kReasonCount> refused{};  ///< By `Reason`.
+  std::uint64_t retries = 0;
+  std::uint64_t rate_waits = 0;
+  std::uint64_t cancels_sent = 0;
+  std::uint64_t unmatched_replies = 0;
+  std::uint64_t tickets_forwarded = 0;
+};
+
+struct PlatformClientStats {
+  std::uint64_t reads = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t host_lists = 0;
+  std::uint64_t failures = 0;
+};
+
+struct RingStats {
+  std::uint64_t to_control_full = 0;
+  std::uint64_t to_data_full = 0;
+};
+
+struct MemberStatus {
+  std::string host;
+  std::string state;  ///< alive, suspected, leaving, left, unknown
+  bool linked = false;
+};
+
+struct TargetStatus {
+  std::string name;
+  std::string service;
+  int limit = 0;
+  int in_flight = 0;
+  std::size_t queued = 0;
+  std::uint32_t level = 0;
+  TargetAdmission::Stats admission;
+};
+
+/// Snapshot of a daemon for its operator endpoint.
+struct DaemonStats {
+  bool live = false;
+  bool ready = false;
+  bool draining = false;
+  bool stale = false;
+  std::string host;
+  std::string failure_domain;
+  Incarnation incarnation;
+  Version version;
+  std::string preset;
+  Findings findings;  ///< Of the last invalid document.
+  std::vector<MemberStatus> members;
+  std::vector<TargetStatus> targets;
+  std::size_t running_requests = 0;
+  std::size_t used_tickets = 0;
+
+  RateBook::Stats rate;
+  RetryBudget::Stats retry;
+  TicketBook::Stats tickets;
+  DispatchFence::Stats fence;
+  EntryGate::Stats gate;
+  Router::Stats router;
+  Membership::Stats membership;
+  Spread::Stats spread;
+  PeerLinkStats peers;
+  HttpFrontStats caller;
+  HttpFrontStats onward;
+  TargetClientStats target_client;
+  PipelineStats pipeline;
+  PlatformClientStats platform;
+  RingStats rings;
+};
+
+}  // namespace lentilcross
