--- /dev/null
+++ b/src/http_types.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "lentilcross/peer_message.h"
+
+namespace lentilcross {
+
+/// Header names of section 3.1 of the design.
+namespace header {
+inline constexpr std::string_view kApiKey = "X-Api-Key";
+inline constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
+inline constexpr std::string_view kTimeout = "Request-Timeout-Ms";
+inline constexpr std::string_view kContext = "Lentilcross-Context";
+inline constexpr std::string_view kOrganisation = "Lentilcross-Organisation";
+inline constexpr std::string_view kImportance = "Lentilcross-Importance";
+inline constexpr std::string_view kContentType = "Content-Type";
+inline constexpr std::string_view kRetryAfter = "Retry-After";
+}  // namespace header
+
+/// Largest header section of a request or an answer.
+inline constexpr std::size_t kMaxHeaderBytes = 32 * 1024;
+
+struct HttpRequest {
+  std::string method;
+  std::string path;  ///< With the query.
+  Headers headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  std::uint16_t status = 200;
+  Headers headers;
+  std::string body;
+};
+
+/// Compares header names without regard to case.
+bool EqualHeaderName(std::string_view a, std::string_view b);
+/// Value of the first header with this name; null if there is none.
+const std::string* FindHeader(const Headers& headers, std::string_view name);
+std::size_t CountHeaders(const Headers& headers, std::string_view name);
+void RemoveHeader(Headers& headers, std::string_view name);
+/// Removes headers that are only for one connection, and the framing.
+void RemoveConnectionHeaders(Headers& headers);
+
+/// True if method, path and headers hold nothing that would end a line or a
+/// word early when they are written. Peers are not trusted with that.
+bool IsWritable(const HttpRequest& request);
+bool IsWritable(const Headers& headers);
+
+/// `application/problem+json` for a refusal.
+HttpResponse MakeProblem(const Refusal& refusal);
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/peer_links.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "daemon_init.h"
+#include "lentilcross/peer_message.h"
+
+namespace lentilcross {
+
+/// Handle of one link. 0 is invalid; numbers are never reused.
+using LinkId = std::uint64_t;
+
+/// Authenticated links to other daemons. Links are opened when needed, by
+/// either side. All calls and hooks run on the thread `data`.
+class PeerLinks {
+ public:
+  struct Init {
+    HostId self;
+    Incarnation incarnation;
+    FailureDomainId failure_domain;
+    std::vector<std::string> keys;
+    Duration heartbeat_busy = std::chrono::milliseconds(100);
+    Duration heartbeat_idle = std::chrono::seconds(1);
+    Duration dead_busy = std::chrono::milliseconds(300);
+    Duration dead_idle = std::chrono::seconds(3);
+    Duration handshake = std::chrono::seconds(1);
+    Duration backoff_min = std::chrono::milliseconds(50);
+    Duration backoff_max = std::chrono::seconds(2);
+    Duration close_unused_after = std::chrono::seconds(60);
+    std::size_t max_unproved = 256;  ///< Links that have not proved a key yet.
+    std::size_t max_pending = 16;    ///< Messages that wait for one link.
+    std::uint64_t seed = 1;          ///< For jitter only.
+  };
+  /// The other end of an authenticated link.
+  struct Peer {
+    LinkId link = 0;
+    HostId host;
+    Incarnation incarnation;
+    FailureDomainId failure_domain;
+  };
+  enum class DownKind : std::uint8_t { kClosed, kBroken, kSilent };
+  struct Hooks {
+    std::function<Version()> version;
+    std::function<void(const Peer&, const Hello&)> on_up;
+    std::function<void(const Peer&, PeerMessage&&)> on_message;
+    std::function<void(const Peer&, DownKind)> on_down;
+    /// A link that was being opened could not be.
+    std::function<void(HostId)> on_unreachable;
+    LogHook log;
+  };
+
+  PeerLinks(boost::asio::io_context& io, const Init& init, Hooks hooks);
+  ~PeerLinks();
+
+  Result<Endpoint> Listen(const Endpoint& endpoint);
+  void StopListening();
+  /// Addresses of all hosts, from the configuration. Replaces earlier ones.
+  void SetAddresses(std::unordered_map<HostId, Endpoint> addresses);
+  /// Dials an address whose host is not known yet.
+  void DialSeed(const Endpoint& endpoint);
+
+  /// A link to the host, 0 if none is up.
+  LinkId Find(HostId host) const;
+  /// The other end, null if the link is not up.
+  const Peer* Describe(LinkId link) const;
+  /// Starts to open a link unless one is up or being opened. False if the host
+  /// has no address or the last attempt failed a moment ago.
+  bool Connect(HostId host);
+  /// False if the link is gone or its queue is full; nothing was sent then.
+  bool SendOn(LinkId link, const PeerMessage& message);
+  /// Sends, or opens a link first. Drops the message if that fails.
+  void SendTo(HostId host, PeerMessage message);
+  /// Sends to every peer, once.
+  void Broadcast(const PeerMessage& message);
+  /// Counts requests outstanding on a link, in either direction. Silence is
+  /// noticed faster while there are any.
+  void AddOutstanding(LinkId link, int change);
+  /// Closes all links with a closing handshake.
+  void CloseAll();
+
+  std::vector<HostId> LinkedHosts() const;
+  const PeerLinkStats& stats() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/target_client.cpp
@@ -0,0 +1,324 @@
+#include "target_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "lentilcross/config.h"
+
+namespace lentilcross {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+using Parser = http::response_parser<http::string_body>;
+
+std::string Serialize(const HttpRequest& request, const Endpoint& address) {
+  std::string text;
+  text.reserve(512 + request.body.size());
+  text.append(request.method).append(" ").append(request.path);
+  text.append(" HTTP/1.1\r\nHost: ").append(address.ip).append(":");
+  text.append(std::to_string(address.port)).append("\r\n");
+  for (const auto& [name, value] : request.headers) {
+    if (EqualHeaderName(name, "Host")) continue;
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT" || request.method == "PATCH") {
+    text.append("Content-Length: ")
+        .append(std::to_string(request.body.size()))
+        .append("\r\n");
+  }
+  return text.append("\r\n").append(request.body);
+}
+
+HttpResponse ToResponse(Parser& parser) {
+  auto message = parser.release();
+  HttpResponse response;
+  response.status = static_cast<std::uint16_t>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.emplace_back(field.name_string(), field.value());
+  }
+  RemoveConnectionHeaders(response.headers);
+  response.body = std::move(message.body());
+  return response;
+}
+
+/// True if the other side has closed the connection or sent bytes unasked.
+bool HasUnexpectedInput(tcp::socket& socket) {
+  char byte = 0;
+  const auto count =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+struct Pool {
+  std::size_t open = 0;
+  std::vector<std::shared_ptr<struct Connection>> idle;
+};
+
+struct Connection {
+  explicit Connection(asio::io_context& io) : socket(io) {}
+
+  tcp::socket socket;
+  std::pair<std::string, std::uint16_t> key;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  std::string out;
+  bool head = false;
+  bool idle = false;
+  std::uint64_t idle_periods = 0;
+  TargetClient::Handle handle = 0;
+  std::function<bool()> may_write;
+  std::function<void(TargetClient::Result&&)> done;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+using Failure = TargetClient::Failure;
+
+}  // namespace
+
+struct TargetClient::Impl : std::enable_shared_from_this<Impl> {
+  Impl(asio::io_context& context, const Init& client_init)
+      : io(context), init(client_init) {}
+
+  Handle Start(const Endpoint& address, const HttpRequest& request,
+               std::function<bool()> may_write,
+               std::function<void(TargetClient::Result&&)> done) {
+    ++stats.requests;
+    const Handle handle = ++last_handle;
+    const auto key = std::make_pair(address.ip, address.port);
+    Pool& pool = pools[key];
+    ConnectionPtr connection = TakeIdle(pool);
+    const bool reused = connection != nullptr;
+    if (!reused && pool.open >= init.max_connections) {
+      ++stats.pool_full;
+      asio::post(io, [done = std::move(done)] {
+        done({Failure::kPoolFull, {}, "connection pool of the target is full"});
+      });
+      return handle;
+    }
+    if (!reused) connection = Open(pool, key);
+    connection->handle = handle;
+    connection->out = Serialize(request, address);
+    connection->head = request.method == "HEAD";
+    connection->may_write = std::move(may_write);
+    connection->done = std::move(done);
+    running[handle] = connection;
+    if (reused) {
+      ++stats.reused;
+      Write(connection);
+    } else {
+      Connect(connection, address);
+    }
+    return handle;
+  }
+
+  ConnectionPtr TakeIdle(Pool& pool) {
+    while (!pool.idle.empty()) {
+      ConnectionPtr connection = pool.idle.back();
+      pool.idle.pop_back();
+      connection->idle = false;
+      if (!HasUnexpectedInput(connection->socket)) return connection;
+      Close(connection);
+    }
+    return nullptr;
+  }
+
+  ConnectionPtr Open(Pool& pool,
+                     const std::pair<std::string, std::uint16_t>& key) {
+    auto connection = std::make_shared<Connection>(io);
+    connection->key = key;
+    ++pool.open;
+    return connection;
+  }
+
+  void Close(const ConnectionPtr& connection) {
+    if (!connection->socket.is_open() && connection->key.second == 0) return;
+    error_code ignored;
+    connection->socket.close(ignored);
+    const auto it = pools.find(connection->key);
+    if (it != pools.end()) --it->second.open;
+    connection->key = {};
+  }
+
+  void Connect(const ConnectionPtr& connection, const Endpoint& address) {
+    ++stats.connects;
+    error_code error;
+    const auto ip = asio::ip::make_address(address.ip, error);
+    if (error) {
+      asio::post(io, [self = shared_from_this(), connection] {
+        self->Fail(connection, Failure::kUnsent, "invalid target address");
+      });
+      return;
+    }
+    connection->socket.async_connect(
+        {ip, address.port},
+        [self = shared_from_this(), connection](error_code failed) {
+          if (connection->handle == 0) return;  // cancelled
+          if (failed) {
+            ++self->stats.connect_failures;
+            self->Fail(connection, Failure::kUnsent,
+                       "cannot connect to the target: " + failed.message());
+            return;
+          }
+          error_code ignored;
+          connection->socket.set_option(tcp::no_delay(true), ignored);
+          self->Write(connection);
+        });
+  }
+
+  void Write(const ConnectionPtr& connection) {
+    if (!connection->may_write()) {
+      // The connection is as good as before; nothing was written on it.
+      asio::post(io, [self = shared_from_this(), connection] {
+        if (connection->handle == 0) return;
+        auto done = self->Detach(connection);
+        self->Park(connection);
+        done({Failure::kNotAllowed, {}, "no longer allowed to be written"});
+      });
+      return;
+    }
+    asio::async_write(connection->socket, asio::buffer(connection->out),
+                      [self = shared_from_this(), connection](
+                          error_code error, std::size_t written) {
+                        if (connection->handle == 0) return;
+                        if (!error) {
+                          self->Read(connection);
+                          return;
+                        }
+                        self->Fail(
+                            connection,
+                            written == 0 ? Failure::kUnsent : Failure::kSent,
+                            "cannot write to the target: " + error.message());
+                      });
+  }
+
+  void Read(const ConnectionPtr& connection) {
+    connection->parser.emplace();
+    connection->parser->body_limit(LENTILCROSS_CONFIG_MAX_BODY);
+    connection->parser->header_limit(kMaxHeaderBytes);
+    connection->parser->skip(connection->head);
+    http::async_read(
+        connection->socket, connection->buffer, *connection->parser,
+        [self = shared_from_this(), connection](error_code error, std::size_t) {
+          if (connection->handle == 0) return;
+          if (error) {
+            self->Fail(connection, Failure::kSent,
+                       "no complete answer of the target: " + error.message());
+            return;
+          }
+          self->OnAnswer(connection);
+        });
+  }
+
+  void OnAnswer(const ConnectionPtr& connection) {
+    Parser& parser = *connection->parser;
+    if (parser.get().result_int() < 200) {
+      // Interim answer: the final one follows on the same connection.
+      Read(connection);
+      return;
+    }
+    // Bytes after the answer could be taken for the answer to a later request.
+    const bool reusable = parser.keep_alive() && connection->buffer.size() == 0;
+    HttpResponse response = ToResponse(parser);
+    auto done = Detach(connection);
+    if (reusable) {
+      Park(connection);
+    } else {
+      Close(connection);
+    }
+    done({Failure::kNone, std::move(response), {}});
+  }
+
+  void Park(const ConnectionPtr& connection) {
+    Pool& pool = pools[connection->key];
+    if (pool.idle.size() >= init.max_idle) {
+      Close(connection);
+      return;
+    }
+    connection->idle = true;
+    const std::uint64_t period = ++connection->idle_periods;
+    pool.idle.push_back(connection);
+    connection->socket.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), connection, period](error_code) {
+          if (!connection->idle || connection->idle_periods != period) return;
+          self->RemoveIdle(connection);
+        });
+  }
+
+  void RemoveIdle(const ConnectionPtr& connection) {
+    auto& idle = pools[connection->key].idle;
+    idle.erase(std::remove(idle.begin(), idle.end(), connection), idle.end());
+    connection->idle = false;
+    Close(connection);
+  }
+
+  std::function<void(TargetClient::Result&&)> Detach(
+      const ConnectionPtr& connection) {
+    running.erase(connection->handle);
+    connection->handle = 0;
+    connection->may_write = nullptr;
+    return std::exchange(connection->done, nullptr);
+  }
+
+  void Fail(const ConnectionPtr& connection, Failure failure,
+            std::string detail) {
+    if (connection->handle == 0) return;
+    ++(failure == Failure::kUnsent ? stats.failed_unsent : stats.failed_sent);
+    auto done = Detach(connection);
+    Close(connection);
+    done({failure, {}, std::move(detail)});
+  }
+
+  asio::io_context& io;
+  Init init;
+  TargetClientStats stats;
+  Handle last_handle = 0;
+  std::map<std::pair<std::string, std::uint16_t>, Pool> pools;
+  std::unordered_map<Handle, ConnectionPtr> running;
+};
+
+TargetClient::TargetClient(asio::io_context& io, const Init& init)
+    : impl_(std::make_shared<Impl>(io, init)) {}
+
+TargetClient::~TargetClient() {
+  for (auto& [key, pool] : impl_->pools) {
+    for (const auto& connection : pool.idle) connection->idle = false;
+    pool.idle.clear();
+  }
+}
+
+TargetClient::Handle TargetClient::Start(const Endpoint& address,
+                                         const HttpRequest& request,
+                                         std::function<bool()> may_write,
+                                         std::function<void(Result&&)> done) {
+  return impl_->Start(address, request, std::move(may_write), std::move(done));
+}
+
+void TargetClient::Cancel(Handle handle) {
+  const auto it = impl_->running.find(handle);
+  if (it == impl_->running.end()) return;
+  const ConnectionPtr connection = it->second;
+  ++impl_->stats.cancelled;
+  impl_->Detach(connection);
+  impl_->Close(connection);
+}
+
+const TargetClientStats& TargetClient::stats() const { return impl_->stats; }
+
+}  // namespace lentilcross
