--- a/include/lentilcross/dispatch.h
+++ b/include/lentilcross/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <unordered_map>
 
 #include "lentilcross/error.h"
@@ -15,6 +16,7 @@
   struct Init {
     Duration memory = std::chrono::minutes(2);  ///< Longest timeout and margin.
     std::size_t max_calls = 65536;
+    std::size_t max_origins = 65536;
   };
   struct Stats {
     std::uint64_t received = 0;
@@ -23,7 +25,8 @@
     std::uint64_t late = 0;  ///< Deadline passed between decision and write.
     std::uint64_t refused_full = 0;
   };
-  /// Identity of a call: the sender's process and its number.
+  /// Identity of a call: the sender's process and its number. A sender numbers
+  /// its calls in increasing order.
   struct CallKey {
     Incarnation origin;
     CallNumber number;
@@ -49,7 +52,9 @@
   void OnAnswered(const CallKey& key, Instant now);
   /// Also leaves a fence for a call that has not arrived yet.
   CancelResult OnCancel(const CallKey& key, Instant now);
-  /// Forgets calls older than `memory`.
+  /// Forgets calls older than `memory`, except those still running. A call
+  /// numbered at or below a forgotten one of its sender is a duplicate from
+  /// then on.
   void Tick(Instant now);
 
   std::size_t size() const { return calls_.size(); }
@@ -62,15 +67,26 @@
     Instant deadline{};
     Instant touched{};
   };
+  /// Place of an entry in the order of forgetting; stale if `touched` differs.
+  struct Aged {
+    CallKey key;
+    Instant touched{};
+  };
   struct KeyHash {
     std::size_t operator()(const CallKey& key) const noexcept {
       return CombineHash(key.origin.value(), key.number.value());
     }
   };
 
+  bool IsForgotten(const CallKey& key) const;
+  void Touch(const CallKey& key, Entry& entry, Instant now);
+  void Forget(const CallKey& key);
+
   Init init_;
   Stats stats_;
   std::unordered_map<CallKey, Entry, KeyHash> calls_;
+  std::deque<Aged> aging_;
+  std::unordered_map<Incarnation, std::uint64_t> forgotten_up_to_;
 };
 
 }  // namespace lentilcross
--- a/include/lentilcross/tickets.h
+++ b/include/lentilcross/tickets.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 
 #include "lentilcross/config.h"
 #include "lentilcross/error.h"
@@ -41,13 +45,15 @@
     std::string body;
   };
   /// Result of presenting a ticket. `reason` is `kNone` when the request may
-  /// run now, `kAlreadyRun` with `answer` when the kept answer is returned.
+  /// run now, `kAlreadyRun` with `answer` when the kept answer is returned,
+  /// `kTicketIssuerUnreachable` when another process issued the ticket.
   struct Use {
     Reason reason = Reason::kNone;
     std::uint64_t serial = 0;
     std::optional<Answer> answer;
   };
 
+  /// Fails with `Findings` without host, incarnation, secret or lifetime.
   static Result<TicketBook> Create(const Init& init);
 
   std::string Issue(OrganisationId organisation, Instant now);
@@ -63,14 +69,30 @@
   /// The outcome stays unknown; the ticket stays used.
   void FinishUnknown(std::uint64_t serial);
 
-  std::size_t used() const;
+  std::size_t used() const { return used_.size(); }
   const Stats& stats() const { return stats_; }
 
  private:
+  enum class State : std::uint8_t { kDispatching, kDone, kUnknown };
+  struct Used {
+    State state = State::kDispatching;
+    RouteId route;
+    Instant expires{};
+    std::optional<Answer> answer;
+  };
+
   explicit TicketBook(const Init& init) : init_(init) {}
 
+  void ForgetExpired(Instant now);
+  Use Repeat(const Used& used, RouteId route, std::uint64_t serial);
+  void Keep(std::uint64_t serial, Used& used, Answer answer);
+
   Init init_;
   Stats stats_;
+  std::uint64_t last_serial_ = 0;
+  std::unordered_map<std::uint64_t, Used> used_;
+  std::set<std::pair<Instant, std::uint64_t>> by_expiry_;
+  std::deque<std::uint64_t> kept_;  ///< Serials with an answer, oldest first.
 };
 
 }  // namespace lentilcross
--- /dev/null
+++ b/src/dispatch.cpp
@@ -0,0 +1,111 @@
+#include "lentilcross/dispatch.h"
+
+#include <algorithm>
+
+namespace lentilcross {
+
+bool DispatchFence::IsForgotten(const CallKey& key) const {
+  const auto it = forgotten_up_to_.find(key.origin);
+  return it != forgotten_up_to_.end() && key.number.value() <= it->second;
+}
+
+void DispatchFence::Touch(const CallKey& key, Entry& entry, Instant now) {
+  entry.touched = now;
+  aging_.push_back({key, now});
+}
+
+DispatchFence::Received DispatchFence::OnCall(const CallKey& key,
+                                              Instant deadline, Instant now) {
+  if (const auto it = calls_.find(key); it != calls_.end()) {
+    if (it->second.state == State::kFenced) return Received::kFenced;
+    ++stats_.duplicates;
+    return Received::kDuplicate;
+  }
+  if (IsForgotten(key)) {
+    ++stats_.duplicates;
+    return Received::kDuplicate;
+  }
+  if (calls_.size() >= init_.max_calls) {
+    ++stats_.refused_full;
+    return Received::kFull;
+  }
+  ++stats_.received;
+  Entry& entry = calls_[key];
+  entry.deadline = deadline;
+  Touch(key, entry, now);
+  return Received::kNew;
+}
+
+bool DispatchFence::BeginWrite(const CallKey& key, Instant now) {
+  const auto it = calls_.find(key);
+  if (it == calls_.end() || it->second.state != State::kQueued) return false;
+  if (now >= it->second.deadline) {
+    // The caller has given up; a write now could run what it believes not run.
+    it->second.state = State::kFenced;
+    ++stats_.late;
+    return false;
+  }
+  it->second.state = State::kWriting;
+  return true;
+}
+
+void DispatchFence::WriteFailedUnsent(const CallKey& key) {
+  const auto it = calls_.find(key);
+  if (it == calls_.end() || it->second.state != State::kWriting) return;
+  it->second.state = State::kQueued;
+}
+
+void DispatchFence::OnAnswered(const CallKey& key, Instant now) {
+  const auto it = calls_.find(key);
+  if (it == calls_.end() || it->second.state != State::kWriting) return;
+  it->second.state = State::kAnswered;
+  Touch(key, it->second, now);
+}
+
+DispatchFence::CancelResult DispatchFence::OnCancel(const CallKey& key,
+                                                    Instant now) {
+  if (const auto it = calls_.find(key); it != calls_.end()) {
+    State& state = it->second.state;
+    if (state == State::kWriting || state == State::kAnswered) {
+      return CancelResult::kMayHaveRun;
+    }
+    if (state == State::kQueued) ++stats_.fenced;
+    state = State::kFenced;
+    return CancelResult::kNeverRun;
+  }
+  // Without a record of its own the call cannot be proven never to run.
+  if (IsForgotten(key)) return CancelResult::kMayHaveRun;
+  if (calls_.size() >= init_.max_calls) return CancelResult::kMayHaveRun;
+  Entry& entry = calls_[key];
+  entry.state = State::kFenced;
+  Touch(key, entry, now);
+  ++stats_.fenced;
+  return CancelResult::kNeverRun;
+}
+
+void DispatchFence::Forget(const CallKey& key) {
+  calls_.erase(key);
+  if (forgotten_up_to_.size() >= init_.max_origins &&
+      forgotten_up_to_.count(key.origin) == 0) {
+    forgotten_up_to_.erase(forgotten_up_to_.begin());
+  }
+  std::uint64_t& up_to = forgotten_up_to_[key.origin];
+  up_to = std::max(up_to, key.number.value());
+}
+
+void DispatchFence::Tick(Instant now) {
+  while (!aging_.empty() && now - aging_.front().touched > init_.memory) {
+    const Aged aged = aging_.front();
+    aging_.pop_front();
+    const auto it = calls_.find(aged.key);
+    if (it == calls_.end() || it->second.touched != aged.touched) continue;
+    // A running call is kept: a cancel must not be told that it never ran.
+    if (it->second.state == State::kWriting) {
+      Touch(aged.key, it->second, now);
+      continue;
+    }
+    Forget(aged.key);
+  }
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/retry.cpp
@@ -0,0 +1,62 @@
+#include "lentilcross/retry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilcross {
+
+std::uint16_t AttemptAllowance::LendAll() {
+  return std::exchange(extra_attempts_, std::uint16_t{0});
+}
+
+std::uint16_t AttemptAllowance::LendHalf() {
+  const auto half = static_cast<std::uint16_t>((extra_attempts_ + 1) / 2);
+  extra_attempts_ = static_cast<std::uint16_t>(extra_attempts_ - half);
+  return half;
+}
+
+void AttemptAllowance::TakeBack(std::uint16_t unused, std::uint16_t lent) {
+  // A reply that claims more than was lent must not grow the allowance.
+  const std::uint16_t back = std::min(unused, lent);
+  extra_attempts_ = static_cast<std::uint16_t>(extra_attempts_ + back);
+}
+
+bool AttemptAllowance::Spend() {
+  if (extra_attempts_ == 0) return false;
+  --extra_attempts_;
+  return true;
+}
+
+RetryBudget::Bucket& RetryBudget::Refill(ServiceId service, Instant now) {
+  const auto [it, is_new] = buckets_.try_emplace(service);
+  Bucket& bucket = it->second;
+  if (is_new) bucket.refilled = now;
+  if (now > bucket.refilled) {
+    const std::chrono::duration<double> elapsed = now - bucket.refilled;
+    bucket.tokens += init_.floor_per_second * elapsed.count();
+    bucket.refilled = now;
+  }
+  bucket.tokens = std::min(bucket.tokens, init_.capacity);
+  return bucket;
+}
+
+void RetryBudget::RecordFirstAttempt(ServiceId service, Instant now) {
+  ++stats_.first_attempts;
+  Bucket& bucket = Refill(service, now);
+  bucket.tokens = std::min(bucket.tokens + init_.ratio, init_.capacity);
+}
+
+bool RetryBudget::TryRetry(ServiceId service, Instant now) {
+  // Ten additions of 0.1 give slightly less than 1.
+  constexpr double kRounding = 1e-9;
+  Bucket& bucket = Refill(service, now);
+  if (bucket.tokens < 1 - kRounding) {
+    ++stats_.denied;
+    return false;
+  }
+  bucket.tokens = std::max(0.0, bucket.tokens - 1);
+  ++stats_.retries;
+  return true;
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/tickets.cpp
@@ -0,0 +1,174 @@
+#include "lentilcross/tickets.h"
+
+#include <openssl/crypto.h>
+
+#include <algorithm>
+
+#include "hex.h"
+#include "lentilcross/findings.h"
+#include "mac.h"
+
+namespace lentilcross {
+namespace {
+
+// Ticket: issuer's host, incarnation, serial, organisation and expiry (ns on
+// the issuer's clock), 8 bytes each, then the first half of the HMAC; in hex.
+constexpr std::size_t kRecordSize = 40;
+constexpr std::size_t kMacSize = 16;
+constexpr std::size_t kTicketSize = kRecordSize + kMacSize;
+using Record = std::array<std::uint8_t, kRecordSize>;
+using TicketBytes = std::array<std::uint8_t, kTicketSize>;
+
+struct Fields {
+  HostId host;
+  Incarnation incarnation;
+  std::uint64_t serial = 0;
+  OrganisationId organisation;
+  Instant expires{};
+};
+
+Record Pack(const Fields& fields) {
+  Record record{};
+  PutWord(record, 0, fields.host.value());
+  PutWord(record, 8, fields.incarnation.value());
+  PutWord(record, 16, fields.serial);
+  PutWord(record, 24, fields.organisation.value());
+  const auto expires = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      fields.expires.time_since_epoch());
+  PutWord(record, 32, static_cast<std::uint64_t>(expires.count()));
+  return record;
+}
+
+Fields Unpack(const TicketBytes& bytes) {
+  Fields fields;
+  fields.host = HostId(WordAt(bytes, 0));
+  fields.incarnation = Incarnation(WordAt(bytes, 8));
+  fields.serial = WordAt(bytes, 16);
+  fields.organisation = OrganisationId(WordAt(bytes, 24));
+  const std::chrono::nanoseconds expires(
+      static_cast<std::int64_t>(WordAt(bytes, 32)));
+  fields.expires = Instant(std::chrono::duration_cast<Duration>(expires));
+  return fields;
+}
+
+bool IsAuthentic(const TicketBytes& bytes, const Sha256Digest& secret) {
+  Record record{};
+  std::copy_n(bytes.begin(), kRecordSize, record.begin());
+  const Sha256Digest mac = Mac(secret, record);
+  return CRYPTO_memcmp(mac.data(), bytes.data() + kRecordSize, kMacSize) == 0;
+}
+
+}  // namespace
+
+Result<TicketBook> TicketBook::Create(const Init& init) {
+  Findings findings;
+  if (!init.self.valid()) findings.Add("self", "missing");
+  if (!init.incarnation.valid()) findings.Add("incarnation", "missing");
+  if (init.secret == Sha256Digest{}) findings.Add("secret", "missing");
+  if (init.lifetime <= Duration::zero()) {
+    findings.Add("lifetime", "out of range");
+  }
+  if (!findings.empty()) return boost::leaf::new_error(std::move(findings));
+  return TicketBook(init);
+}
+
+std::string TicketBook::Issue(OrganisationId organisation, Instant now) {
+  ++stats_.issued;
+  const Record record = Pack({init_.self, init_.incarnation, ++last_serial_,
+                              organisation, now + init_.lifetime});
+  const Sha256Digest mac = Mac(init_.secret, record);
+  TicketBytes bytes{};
+  std::copy(record.begin(), record.end(), bytes.begin());
+  std::copy_n(mac.begin(), kMacSize, bytes.begin() + kRecordSize);
+  return ToHex(bytes);
+}
+
+std::optional<TicketBook::Issuer> TicketBook::ParseIssuer(
+    std::string_view ticket) {
+  const auto bytes = FromHex<kTicketSize>(ticket);
+  if (!bytes) return std::nullopt;
+  const Fields fields = Unpack(*bytes);
+  if (!fields.host.valid() || !fields.incarnation.valid()) return std::nullopt;
+  return Issuer{fields.host, fields.incarnation};
+}
+
+TicketBook::Use TicketBook::Claim(std::string_view ticket,
+                                  OrganisationId organisation, RouteId route,
+                                  Instant now) {
+  ForgetExpired(now);
+  const auto bytes = FromHex<kTicketSize>(ticket);
+  if (!bytes) return {Reason::kTicketInvalid, 0, std::nullopt};
+  const Fields fields = Unpack(*bytes);
+  if (fields.host != init_.self || fields.incarnation != init_.incarnation) {
+    return {Reason::kTicketIssuerUnreachable, 0, std::nullopt};
+  }
+  if (!IsAuthentic(*bytes, init_.secret) ||
+      fields.organisation != organisation || now >= fields.expires) {
+    return {Reason::kTicketInvalid, 0, std::nullopt};
+  }
+  if (const auto it = used_.find(fields.serial); it != used_.end()) {
+    return Repeat(it->second, route, fields.serial);
+  }
+  if (used_.size() >= init_.max_used) {
+    ++stats_.refused_full;
+    return {Reason::kOverloaded, 0, std::nullopt};
+  }
+  ++stats_.used;
+  used_[fields.serial] = {State::kDispatching, route, fields.expires, {}};
+  by_expiry_.emplace(fields.expires, fields.serial);
+  return {Reason::kNone, fields.serial, std::nullopt};
+}
+
+TicketBook::Use TicketBook::Repeat(const Used& used, RouteId route,
+                                   std::uint64_t serial) {
+  if (used.route != route) return {Reason::kTicketInvalid, 0, std::nullopt};
+  ++stats_.repeats;
+  if (used.state == State::kDispatching) {
+    return {Reason::kTicketInUse, serial, std::nullopt};
+  }
+  return {Reason::kAlreadyRun, serial, used.answer};
+}
+
+void TicketBook::Free(std::uint64_t serial) {
+  const auto it = used_.find(serial);
+  if (it == used_.end() || it->second.state != State::kDispatching) return;
+  ++stats_.freed;
+  by_expiry_.erase({it->second.expires, serial});
+  used_.erase(it);
+}
+
+void TicketBook::Finish(std::uint64_t serial, Answer answer) {
+  const auto it = used_.find(serial);
+  if (it == used_.end() || it->second.state != State::kDispatching) return;
+  it->second.state = State::kDone;
+  Keep(serial, it->second, std::move(answer));
+}
+
+void TicketBook::Keep(std::uint64_t serial, Used& used, Answer answer) {
+  const std::size_t size = answer.body.size() + answer.content_type.size();
+  if (size > LENTILCROSS_CONFIG_MAX_KEPT_ANSWER || init_.max_kept_answers == 0)
+    return;
+  // An expired ticket leaves its serial here until its turn comes.
+  if (kept_.size() >= init_.max_kept_answers) {
+    const auto oldest = used_.find(kept_.front());
+    if (oldest != used_.end()) oldest->second.answer.reset();
+    kept_.pop_front();
+  }
+  used.answer = std::move(answer);
+  kept_.push_back(serial);
+}
+
+void TicketBook::FinishUnknown(std::uint64_t serial) {
+  const auto it = used_.find(serial);
+  if (it == used_.end() || it->second.state != State::kDispatching) return;
+  it->second.state = State::kUnknown;
+}
+
+void TicketBook::ForgetExpired(Instant now) {
+  while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) {
+    used_.erase(by_expiry_.begin()->second);
+    by_expiry_.erase(by_expiry_.begin());
+  }
+}
+
+}  // namespace lentilcross
