Give loan messages what makes duplicates and reordering harmless

A grant replaces the level before it, a request states what the borrower still holds, and numbers belong to one borrower process. RateBook drains all its messages through Tick, because a grant can follow long after its request.

--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -115,33 +115,45 @@
   double burst = 0;  ///< Tokens.
 };
 
+/// State of a borrower towards one lender, for one organisation. The borrower
+/// lowers what it holds to `held` before it sends this.
 struct LoanAsk {
   OrganisationId organisation;
-  Quota want;
+  Quota want;               ///< Level to hold after the grant.
+  Quota held;               ///< Level still held of grant `grant`.
+  double need = 0;          ///< Tokens wanted with the grant.
+  double returned = 0;      ///< Unused tokens given back with this message.
+  std::uint32_t grant = 0;  ///< Last grant accepted; 0: none.
 };
 
+/// Numbers increase within one borrower process, over requests and returns.
 struct LoanRequest {
+  Incarnation borrower;
   std::uint32_t number = 0;
   std::vector<LoanAsk> asks;
 };
 
+/// Level that the borrower may hold from now on, in place of the one before.
 struct Loan {
   OrganisationId organisation;
   Quota quota;
-  double tokens = 0;
+  double tokens = 0;       ///< Tokens that come with this message.
+  Duration term{};         ///< Counted from when the borrower asked.
+  std::uint16_t part = 0;  ///< Order of several grants for one request.
 };
 
-/// Answer to a `LoanRequest`. The borrower counts `term` from when it asked.
+/// Answer to a `LoanRequest`. More than one may follow, with rising parts.
 struct LoanGrant {
+  Incarnation borrower;
   std::uint32_t number = 0;
-  Duration term{};
   std::vector<Loan> loans;
 };
 
-/// Gives loans of one grant back early. The tokens are those still unused.
+/// Gives loans back early; `want` is ignored and nothing is answered.
 struct LoanReturn {
+  Incarnation borrower;
   std::uint32_t number = 0;
-  std::vector<Loan> loans;
+  std::vector<LoanAsk> asks;
 };
 
 struct Leave {
--- a/include/lentilcross/rate.h
+++ b/include/lentilcross/rate.h
@@ -2,11 +2,11 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
-#include <utility>
+#include <variant>
 #include <vector>
 
 #include "lentilcross/configuration.h"
+#include "lentilcross/error.h"
 #include "lentilcross/peer_message.h"
 #include "lentilcross/types.h"
 
@@ -19,6 +19,7 @@
   struct Init {
     HostId self;
     FailureDomainId failure_domain;
+    Incarnation incarnation;
     Duration loan_term = std::chrono::seconds(2);
     Duration handover = std::chrono::seconds(10);
     Duration longest_wait = std::chrono::milliseconds(30);
@@ -30,6 +31,8 @@
     std::uint64_t loans_granted = 0;
     std::uint64_t loans_taken = 0;
     std::uint64_t loans_expired = 0;
+    std::uint64_t messages_ignored = 0;  ///< Duplicate, late or malformed.
+    std::uint64_t suspensions = 0;
   };
   enum class Verdict : std::uint8_t {
     kAdmitted,
@@ -41,46 +44,57 @@
     Instant retry_at{};
     Duration retry_after{};
   };
-  template <typename Message>
   struct Outgoing {
     HostId to;
-    Message message;
+    std::variant<LoanRequest, LoanGrant, LoanReturn> message;
   };
 
+  /// Fails with `Findings` without host, domain or incarnation, or if the times
+  /// do not allow a safe handover.
   static Result<RateBook> Create(const Init& init);
+  RateBook(RateBook&&) noexcept;
+  RateBook& operator=(RateBook&&) noexcept;
+  ~RateBook();
 
   /// Takes over quotas from a new configuration: losses at once, gains after
   /// `handover`.
   void Apply(std::shared_ptr<const Configuration> configuration, Instant now);
 
   /// Takes one token for a whole request. `waited` is how long the request has
-  /// waited so far.
+  /// waited so far; 0 marks a new request. An organisation that the
+  /// configuration does not list is refused. The caller lets waiting requests
+  /// try in order of arrival and before new ones.
   Charge TryCharge(OrganisationId organisation, Duration waited, Instant now);
 
-  /// Records contact with another daemon or the platform that compared
-  /// versions with this host.
-  void RecordContact(Instant now);
+  /// Records that another daemon or the platform compared versions with this
+  /// host, in an exchange that this host began at `began`. A newer version
+  /// learned by it must be applied first.
+  void RecordContact(Instant began, Instant now);
 
-  /// Expires loans and returns the loan requests that are due. Call at least
-  /// every 50 ms, and after a `kWait`.
-  std::vector<Outgoing<LoanRequest>> Tick(Instant now);
+  /// Expires loans and returns the messages that are due. Call at least every
+  /// 20 ms while requests arrive, and after `OnRequest`, `OnGrant` and a
+  /// `kWait`.
+  std::vector<Outgoing> Tick(Instant now);
 
-  LoanGrant OnRequest(HostId from, const LoanRequest& request, Instant now);
+  void OnRequest(HostId from, const LoanRequest& request, Instant now);
   /// True if a waiting request may now be charged.
   bool OnGrant(HostId from, const LoanGrant& grant, Instant now);
   void OnReturn(HostId from, const LoanReturn& message, Instant now);
   /// Loans to give back before this process exits.
-  std::vector<Outgoing<LoanReturn>> ReturnAll(Instant now);
+  std::vector<Outgoing> ReturnAll(Instant now);
 
   /// Quota held now: own, plus borrowed, less lent.
   Quota held(OrganisationId organisation, Instant now) const;
-  const Stats& stats() const { return stats_; }
+  double tokens(OrganisationId organisation, Instant now) const;
+  /// True while the own quotas are unused for lack of contact.
+  bool suspended(Instant now) const;
+  const Stats& stats() const;
 
  private:
-  explicit RateBook(const Init& init) : init_(init) {}
+  struct Impl;
+  explicit RateBook(const Init& init);
 
-  Init init_;
-  Stats stats_;
+  std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace lentilcross
