Add peer messages and membership

Cause: the daemon and the router need the wire format and the host table. Membership keeps one incarnation per host; only a Hello replaces it.

--- a/include/lentilcross/config.h
+++ b/include/lentilcross/config.h
@@ -49,3 +49,34 @@
 #ifndef LENTILCROSS_CONFIG_RING_CAPACITY
 #define LENTILCROSS_CONFIG_RING_CAPACITY 1024
 #endif
+
+#ifndef LENTILCROSS_CONFIG_MAX_EXTRA_ATTEMPTS
+#define LENTILCROSS_CONFIG_MAX_EXTRA_ATTEMPTS 16
+#endif
+
+// Longest list of headers, loans or service levels in one peer message. Covers
+// the 470 services of the design size.
+#ifndef LENTILCROSS_CONFIG_MAX_PEER_LIST
+#define LENTILCROSS_CONFIG_MAX_PEER_LIST 1024
+#endif
+
+// Hosts that a process remembers; the design size is 10,000.
+#ifndef LENTILCROSS_CONFIG_MAX_MEMBERS
+#define LENTILCROSS_CONFIG_MAX_MEMBERS 16384
+#endif
+
+// How often one membership update is sent. With two digests a second it
+// reaches 10,000 hosts (2^13.3) with a wide margin.
+#ifndef LENTILCROSS_CONFIG_MEMBER_UPDATE_SENDS
+#define LENTILCROSS_CONFIG_MEMBER_UPDATE_SENDS 12
+#endif
+
+// Longest name of a host, service, organisation, key or preset.
+#ifndef LENTILCROSS_CONFIG_MAX_NAME
+#define LENTILCROSS_CONFIG_MAX_NAME 128
+#endif
+
+// Findings reported for one document; the rest is only counted.
+#ifndef LENTILCROSS_CONFIG_MAX_FINDINGS
+#define LENTILCROSS_CONFIG_MAX_FINDINGS 1000
+#endif
--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -15,6 +15,13 @@
 
 inline constexpr int kPeerProtocolVersion = 1;
 
+/// Longest duration in a peer message. `Encode` limits longer ones to it and
+/// negative ones to 0.
+inline constexpr Duration kMaxPeerDuration = std::chrono::hours(24 * 30);
+
+/// Largest rate, burst or number of tokens in a peer message or configuration.
+inline constexpr double kMaxQuantity = 1e9;
+
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
 /// Shedding level of a service: requests that rank below it are refused.
@@ -98,12 +105,14 @@
 struct ConfigDelta {
   Version from;
   Version to;
-  std::string entries;  ///< CBOR of a JSON Patch (RFC 6902).
+  std::uint64_t checksum = 0;  ///< XXH64 of the CBOR of document `to`.
+  std::string entries;         ///< CBOR of a JSON Patch (RFC 6902).
 };
 
 /// Part of a whole document, for a peer too far behind for deltas.
 struct ConfigSnapshot {
   Version version;
+  std::uint64_t checksum = 0;  ///< XXH64 of the CBOR of the whole document.
   std::uint32_t piece = 0;
   std::uint32_t pieces = 1;
   std::string bytes;
@@ -162,7 +171,8 @@
                  ConfigRequest, ConfigDelta, ConfigSnapshot, LoanRequest,
                  LoanGrant, LoanReturn, Leave, Ping, Pong>;
 
-/// CBOR bytes of a message.
+/// CBOR bytes of a message. The caller keeps the fields within the limits that
+/// `Decode` checks; a message beyond them is refused by the receiver.
 std::string Encode(const PeerMessage& message);
 
 /// Decodes one message. The error carries a `DecodeError`: garbage, truncation,
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,249 @@
+#include "lentilcross/membership.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "lentilcross/config.h"
+
+namespace lentilcross {
+namespace {
+
+bool IsFinal(MemberState state) {
+  return state == MemberState::kLeaving || state == MemberState::kLeft;
+}
+
+/// True if `update` supersedes `member`, both of one incarnation.
+bool Supersedes(const MemberUpdate& update, const Membership::Member& member) {
+  if (IsFinal(member.state)) return member.state < update.state;
+  if (IsFinal(update.state)) return true;
+  if (update.sequence != member.sequence) {
+    return update.sequence > member.sequence;
+  }
+  return update.state > member.state;
+}
+
+std::uint32_t NextSequence(std::uint32_t sequence) {
+  constexpr auto kLast = std::numeric_limits<std::uint32_t>::max();
+  return sequence == kLast ? kLast : sequence + 1;
+}
+
+}  // namespace
+
+bool Membership::OnHello(HostId host, Incarnation incarnation, Instant now) {
+  if (host == init_.self) return false;
+  Member* member = FindMutable(host);
+  if (member == nullptr) {
+    member = Insert(host, incarnation);
+    if (member == nullptr) return true;
+    member->heard = now;
+    Announce(host, *member);
+    return true;
+  }
+  // A process that was paused while a replacement took over its name.
+  if (member->replaced == incarnation) return false;
+  if (member->incarnation != incarnation) {
+    const Incarnation replaced = member->incarnation;
+    *member = Member{};
+    member->incarnation = incarnation;
+    member->replaced = replaced;
+    member->heard = now;
+    Announce(host, *member);
+    return true;
+  }
+  Revive(host, *member, now);
+  return true;
+}
+
+void Membership::OnHeard(HostId host, Instant now) {
+  if (Member* member = FindMutable(host)) Revive(host, *member, now);
+}
+
+void Membership::OnLinkDead(HostId host, Instant /*now*/) {
+  Member* member = FindMutable(host);
+  if (member == nullptr) return;
+  if (member->state == MemberState::kLeaving) {
+    member->state = MemberState::kLeft;
+    Announce(host, *member);
+    return;
+  }
+  Suspect(host, *member);
+}
+
+void Membership::OnLeave(HostId host, Incarnation incarnation, Instant now) {
+  if (host == init_.self) return;
+  Member* member = FindMutable(host);
+  if (member == nullptr) member = Insert(host, incarnation);
+  if (member == nullptr || member->incarnation != incarnation) return;
+  member->heard = now;
+  if (IsFinal(member->state)) return;
+  member->state = MemberState::kLeaving;
+  member->sequence = NextSequence(member->sequence);
+  Announce(host, *member);
+}
+
+void Membership::OnUpdates(const std::vector<MemberUpdate>& updates,
+                           Instant now) {
+  for (const MemberUpdate& update : updates) OnUpdate(update, now);
+}
+
+void Membership::OnUpdate(const MemberUpdate& update, Instant now) {
+  if (update.host == init_.self) return OnUpdateOfSelf(update);
+  Member* member = FindMutable(update.host);
+  if (member == nullptr) {
+    member = Insert(update.host, update.incarnation);
+    if (member == nullptr) return;
+  } else if (member->incarnation != update.incarnation) {
+    return OnOtherIncarnation(*member, update);
+  } else if (!Supersedes(update, *member)) {
+    ++stats_.updates_ignored;
+    return;
+  } else if (update.state == MemberState::kSuspected &&
+             HeardLately(*member, now)) {
+    // Answer with a higher sequence, so that others stop suspecting it too.
+    ++stats_.updates_ignored;
+    member->sequence = NextSequence(update.sequence);
+    member->state = MemberState::kAlive;
+    return Announce(update.host, *member);
+  }
+  member->state = update.state;
+  member->sequence = update.sequence;
+  ++stats_.updates_applied;
+  Announce(update.host, *member);
+}
+
+void Membership::OnUpdateOfSelf(const MemberUpdate& update) {
+  const bool same = update.incarnation == init_.incarnation;
+  if (same && update.state != MemberState::kSuspected) return;
+  // Refute the suspicion, or news about an earlier process of this name.
+  if (same) {
+    self_sequence_ = std::max(self_sequence_, NextSequence(update.sequence));
+  }
+  Member self;
+  self.incarnation = init_.incarnation;
+  self.state = self_state_;
+  self.sequence = self_sequence_;
+  Announce(init_.self, self);
+}
+
+void Membership::OnOtherIncarnation(Member& member,
+                                    const MemberUpdate& update) {
+  ++stats_.updates_ignored;
+  const bool older = update.incarnation == member.replaced;
+  if (older || IsFinal(update.state)) return;
+  member.reported = update.incarnation;
+}
+
+void Membership::OnPlatformLeaving(HostId host, Instant now) {
+  Member* member = FindMutable(host);
+  if (member == nullptr || HeardLately(*member, now)) return;
+  Suspect(host, *member);
+}
+
+void Membership::Leave(Instant /*now*/) {
+  if (IsFinal(self_state_)) return;
+  self_state_ = MemberState::kLeaving;
+  self_sequence_ = NextSequence(self_sequence_);
+  Member self;
+  self.incarnation = init_.incarnation;
+  self.state = self_state_;
+  self.sequence = self_sequence_;
+  Announce(init_.self, self);
+}
+
+std::vector<MemberUpdate> Membership::NextUpdates() {
+  std::vector<MemberUpdate> updates;
+  for (Pending& pending : pending_) {
+    if (updates.size() == LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES) break;
+    updates.push_back(pending.update);
+    --pending.sends_left;
+  }
+  const auto spent = std::remove_if(
+      pending_.begin(), pending_.end(),
+      [](const Pending& pending) { return pending.sends_left <= 0; });
+  pending_.erase(spent, pending_.end());
+  return updates;
+}
+
+bool Membership::IsUsable(HostId host) const {
+  const Member* member = Find(host);
+  return member == nullptr || member->state == MemberState::kAlive;
+}
+
+bool Membership::ShouldProbe(HostId host, Instant now) {
+  Member* member = FindMutable(host);
+  if (member == nullptr) return false;
+  const bool wanted =
+      member->state == MemberState::kSuspected || member->reported.valid();
+  if (!wanted) return false;
+  if (member->probed != Instant{} && now - member->probed < init_.suspicion) {
+    return false;
+  }
+  member->probed = now;
+  return true;
+}
+
+const Membership::Member* Membership::Find(HostId host) const {
+  const auto found = members_.find(host);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+Membership::Member* Membership::FindMutable(HostId host) {
+  const auto found = members_.find(host);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+Membership::Member* Membership::Insert(HostId host, Incarnation incarnation) {
+  if (members_.size() >= LENTILCROSS_CONFIG_MAX_MEMBERS) {
+    ++stats_.table_full;
+    EvictOne();
+  }
+  if (members_.size() >= LENTILCROSS_CONFIG_MAX_MEMBERS) return nullptr;
+  Member& member = members_[host];
+  member.incarnation = incarnation;
+  return &member;
+}
+
+/// Makes room by forgetting a host that is known from gossip alone. A host
+/// heard on an own link stays, and so does a process that left.
+void Membership::EvictOne() {
+  const auto victim =
+      std::find_if(members_.begin(), members_.end(), [](const auto& entry) {
+        const Member& member = entry.second;
+        return member.heard == Instant{} && !IsFinal(member.state);
+      });
+  if (victim != members_.end()) members_.erase(victim);
+}
+
+void Membership::Suspect(HostId host, Member& member) {
+  if (member.state != MemberState::kAlive) return;
+  member.state = MemberState::kSuspected;
+  ++stats_.suspicions;
+  Announce(host, member);
+}
+
+/// Records contact on an own link, which ends a suspicion.
+void Membership::Revive(HostId host, Member& member, Instant now) {
+  member.heard = now;
+  member.reported = Incarnation();
+  if (member.state != MemberState::kSuspected) return;
+  member.state = MemberState::kAlive;
+  member.sequence = NextSequence(member.sequence);
+  Announce(host, member);
+}
+
+void Membership::Announce(HostId host, const Member& member) {
+  const auto older = std::find_if(
+      pending_.begin(), pending_.end(),
+      [host](const Pending& pending) { return pending.update.host == host; });
+  if (older != pending_.end()) pending_.erase(older);
+  if (pending_.size() >= LENTILCROSS_CONFIG_MAX_MEMBERS) pending_.pop_back();
+  pending_.push_front(
+      {{host, member.incarnation, member.state, member.sequence},
+       LENTILCROSS_CONFIG_MEMBER_UPDATE_SENDS});
+}
+
+bool Membership::HeardLately(const Member& member, Instant now) const {
+  return member.heard != Instant{} && now - member.heard < init_.suspicion;
+}
+
+}  // namespace lentilcross
