Add checked JSON reading with findings

Cause: configuration and settings report every fault at once with its place. Change: ParseJsonDocument (comments, duplicate members, line and column without quoting the input) and ObjectReader (type, range, unit, missing, unknown).

--- /dev/null
+++ b/src/json_reader.cpp
@@ -0,0 +1,353 @@
+#include "json_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <unordered_set>
+#include <utility>
+
+namespace lentilcross {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMaxDepth = 32;
+
+struct Position {
+  std::size_t line = 1;
+  std::size_t column = 1;
+};
+
+Position FindPosition(std::string_view text, std::size_t offset) {
+  Position position;
+  for (std::size_t i = 0; i < std::min(offset, text.size()); ++i) {
+    if (text[i] == '\n') {
+      ++position.line;
+      position.column = 1;
+    } else {
+      ++position.column;
+    }
+  }
+  return position;
+}
+
+/// The part of nlohmann's message that says what was expected. The end of the
+/// message quotes the input, which may be a key.
+std::string DescribeSyntaxError(const std::string& message) {
+  constexpr std::string_view kStart = "syntax error while parsing ";
+  const std::size_t start = message.find(kStart);
+  if (start == std::string::npos) return "syntax error";
+  const std::size_t end = message.find("; last read", start);
+  const std::size_t length =
+      end == std::string::npos ? std::string::npos : end - start;
+  return message.substr(start, length);
+}
+
+/// Builds a DOM, and adds findings for duplicate members.
+class DocumentParser : public nlohmann::detail::json_sax_dom_parser<Json> {
+ public:
+  using Base = nlohmann::detail::json_sax_dom_parser<Json>;
+
+  DocumentParser(Json& root, std::string_view text, Findings& findings)
+      : Base(root, /*allow_exceptions_=*/false),
+        text_(text),
+        findings_(findings) {}
+
+  bool null() { return Element() && Base::null(); }
+  bool boolean(bool value) { return Element() && Base::boolean(value); }
+  bool number_integer(Json::number_integer_t value) {
+    return Element() && Base::number_integer(value);
+  }
+  bool number_unsigned(Json::number_unsigned_t value) {
+    return Element() && Base::number_unsigned(value);
+  }
+  bool number_float(Json::number_float_t value, const std::string& text) {
+    return Element() && Base::number_float(value, text);
+  }
+  bool string(std::string& value) { return Element() && Base::string(value); }
+
+  bool start_object(std::size_t size) {
+    return Element() && Enter(/*is_array=*/false) && Base::start_object(size);
+  }
+  bool key(std::string& name) {
+    Level& level = levels_.back();
+    level.name = name;
+    if (!level.names.insert(name).second) {
+      findings_.Add(Pointer(), "duplicate member");
+    }
+    return Base::key(name);
+  }
+  bool end_object() {
+    levels_.pop_back();
+    return Base::end_object();
+  }
+  bool start_array(std::size_t size) {
+    return Element() && Enter(/*is_array=*/true) && Base::start_array(size);
+  }
+  bool end_array() {
+    levels_.pop_back();
+    return Base::end_array();
+  }
+  template <typename Exception>
+  bool parse_error(std::size_t offset, const std::string& /*token*/,
+                   const Exception& error) {
+    // The offset counts the characters read so far.
+    const auto [line, column] =
+        FindPosition(text_, offset == 0 ? 0 : offset - 1);
+    findings_.Add(std::to_string(line) + ":" + std::to_string(column),
+                  DescribeSyntaxError(error.what()));
+    return false;
+  }
+
+ private:
+  struct Level {
+    bool is_array = false;
+    std::size_t next = 0;  ///< Index of the next array element.
+    std::string name;      ///< Last member name of an object.
+    std::unordered_set<std::string> names;
+  };
+
+  /// Counts a value that begins in the innermost array.
+  bool Element() {
+    if (!levels_.empty() && levels_.back().is_array) {
+      Level& level = levels_.back();
+      level.name = std::to_string(level.next++);
+    }
+    return true;
+  }
+  bool Enter(bool is_array) {
+    if (levels_.size() == kMaxDepth) {
+      findings_.Add(Pointer(), "nested too deeply");
+      return false;
+    }
+    levels_.push_back({is_array, 0, "", {}});
+    return true;
+  }
+  std::string Pointer() const {
+    std::string pointer;
+    for (const Level& level : levels_)
+      pointer = JoinPointer(pointer, level.name);
+    return pointer;
+  }
+
+  std::string_view text_;
+  Findings& findings_;
+  std::vector<Level> levels_;
+};
+
+struct Unit {
+  std::string_view suffix;
+  std::string_view name;
+};
+
+constexpr std::array<Unit, 13> kUnits = {{
+    {"_ns", "nanoseconds"},
+    {"_us", "microseconds"},
+    {"_ms", "milliseconds"},
+    {"_s", "seconds"},
+    {"_sec", "seconds"},
+    {"_seconds", "seconds"},
+    {"_min", "minutes"},
+    {"_minutes", "minutes"},
+    {"_h", "hours"},
+    {"_hours", "hours"},
+    {"_percent", "percent"},
+    {"_per_s", "per second"},
+    {"_per_min", "per minute"},
+}};
+
+/// Splits a name into its stem and its unit; the longest suffix counts.
+std::pair<std::string_view, const Unit*> SplitUnit(std::string_view name) {
+  const Unit* best = nullptr;
+  for (const Unit& unit : kUnits) {
+    const std::size_t size = unit.suffix.size();
+    if (name.size() <= size) continue;
+    if (name.substr(name.size() - size) != unit.suffix) continue;
+    if (best == nullptr || size > best->suffix.size()) best = &unit;
+  }
+  if (best == nullptr) return {name, nullptr};
+  return {name.substr(0, name.size() - best->suffix.size()), best};
+}
+
+std::string FormatNumber(double value) { return Json(value).dump(); }
+
+std::string RangeText(const std::string& min, const std::string& max) {
+  return "out of range: expected " + min + " to " + max;
+}
+
+}  // namespace
+
+std::optional<Json> ParseJsonDocument(std::string_view text,
+                                      Findings& findings) {
+  Json root;
+  DocumentParser parser(root, text, findings);
+  const bool complete = Json::sax_parse(
+      text.begin(), text.end(), &parser, Json::input_format_t::json,
+      /*strict=*/true, /*ignore_comments=*/true);
+  if (!complete) return std::nullopt;
+  return root;
+}
+
+std::string JoinPointer(const std::string& pointer, std::string_view name) {
+  std::string joined = pointer + "/";
+  for (const char c : name) {
+    if (c == '~') {
+      joined += "~0";
+    } else if (c == '/') {
+      joined += "~1";
+    } else {
+      joined += c;
+    }
+  }
+  return joined;
+}
+
+ObjectReader::ObjectReader(const Json& value, std::string pointer,
+                           Findings& findings)
+    : pointer_(std::move(pointer)), findings_(findings) {
+  if (value.is_object()) {
+    object_ = &value;
+  } else {
+    Report("", "wrong type: expected an object");
+  }
+}
+
+const Json* ObjectReader::Find(std::string_view name, Presence presence) {
+  known_.emplace_back(name);
+  if (object_ == nullptr) return nullptr;
+  const auto found = object_->find(std::string(name));
+  if (found != object_->end()) return &*found;
+  if (presence == Presence::kRequired) missing_.emplace_back(name);
+  return nullptr;
+}
+
+bool ObjectReader::ReadText(std::string_view name, Presence presence,
+                            std::string& out) {
+  const Json* value = Find(name, presence);
+  if (value == nullptr) return false;
+  if (!value->is_string()) {
+    Report(name, "wrong type: expected a string");
+    return false;
+  }
+  out = value->get_ref<const std::string&>();
+  return true;
+}
+
+void ObjectReader::Text(std::string_view name, Presence presence,
+                        std::string& out) {
+  ReadText(name, presence, out);
+}
+
+void ObjectReader::Flag(std::string_view name, Presence presence, bool& out) {
+  const Json* value = Find(name, presence);
+  if (value == nullptr) return;
+  if (!value->is_boolean())
+    return Report(name, "wrong type: expected a boolean");
+  out = value->get<bool>();
+}
+
+void ObjectReader::Number(std::string_view name, Presence presence, double min,
+                          double max, double& out) {
+  const Json* value = Find(name, presence);
+  if (value == nullptr) return;
+  if (!value->is_number()) return Report(name, "wrong type: expected a number");
+  const auto number = value->get<double>();
+  // The comparison is false for NaN.
+  if (!(number >= min && number <= max)) {
+    return Report(name, RangeText(FormatNumber(min), FormatNumber(max)));
+  }
+  out = number;
+}
+
+bool ObjectReader::ReadInteger(std::string_view name, Presence presence,
+                               std::uint64_t min, std::uint64_t max,
+                               std::uint64_t& out) {
+  const Json* value = Find(name, presence);
+  if (value == nullptr) return false;
+  if (!value->is_number_integer()) {
+    Report(name, "wrong type: expected an integer");
+    return false;
+  }
+  const auto number = value->is_number_unsigned() ? value->get<std::uint64_t>()
+                                                  : std::uint64_t{0};
+  if (!value->is_number_unsigned() || number < min || number > max) {
+    Report(name, RangeText(std::to_string(min), std::to_string(max)));
+    return false;
+  }
+  out = number;
+  return true;
+}
+
+void ObjectReader::Time(std::string_view name, Presence presence, Duration min,
+                        Duration max, Duration& out) {
+  const auto [stem, unit] = SplitUnit(name);
+  const Duration one = unit != nullptr && unit->suffix == "_s"
+                           ? Duration(std::chrono::seconds(1))
+                           : Duration(std::chrono::milliseconds(1));
+  std::uint64_t count = 0;
+  if (ReadInteger(name, presence, static_cast<std::uint64_t>(min / one),
+                  static_cast<std::uint64_t>(max / one), count)) {
+    out = one * static_cast<Duration::rep>(count);
+  }
+}
+
+void ObjectReader::Members(std::string_view name, Presence presence,
+                           const MemberVisitor& visit) {
+  const Json* value = Find(name, presence);
+  if (value == nullptr) return;
+  if (!value->is_object())
+    return Report(name, "wrong type: expected an object");
+  const std::string pointer = PointerTo(name);
+  for (const auto& [member, content] : value->items()) {
+    visit(member, content, JoinPointer(pointer, member));
+  }
+}
+
+void ObjectReader::Elements(std::string_view name, Presence presence,
+                            const ElementVisitor& visit) {
+  const Json* value = Find(name, presence);
+  if (value == nullptr) return;
+  if (!value->is_array()) return Report(name, "wrong type: expected an array");
+  const std::string pointer = PointerTo(name);
+  for (std::size_t i = 0; i < value->size(); ++i) {
+    visit((*value)[i], JoinPointer(pointer, std::to_string(i)));
+  }
+}
+
+void ObjectReader::Report(std::string_view name, std::string text) {
+  findings_.Add(PointerTo(name), std::move(text));
+}
+
+void ObjectReader::Finish() {
+  if (object_ == nullptr) return;
+  for (const auto& [name, value] : object_->items()) {
+    if (!IsKnown(name)) ReportUnknown(name);
+  }
+  for (const std::string& name : missing_) Report(name, "missing field");
+}
+
+std::string ObjectReader::PointerTo(std::string_view name) const {
+  return name.empty() ? pointer_ : JoinPointer(pointer_, name);
+}
+
+bool ObjectReader::IsKnown(std::string_view name) const {
+  return std::find(known_.begin(), known_.end(), name) != known_.end();
+}
+
+void ObjectReader::ReportUnknown(const std::string& name) {
+  const auto [stem, given] = SplitUnit(name);
+  for (const std::string& known : known_) {
+    const auto [known_stem, unit] = SplitUnit(known);
+    if (known_stem != stem || (unit == nullptr && given == nullptr)) continue;
+    Report(name, "wrong unit: expected \"" + known + "\"" +
+                     (unit == nullptr ? " without a unit"
+                                      : " in " + std::string(unit->name)));
+    // One finding is enough for a member that is there in a wrong unit.
+    missing_.erase(std::remove(missing_.begin(), missing_.end(), known),
+                   missing_.end());
+    return;
+  }
+  Report(name, "unknown field");
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/json_reader.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+#include "lentilcross/findings.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+/// Parses JSON with comments. Empty, with findings, for a syntax error (place
+/// "line:column") or too deep nesting. Duplicate members are findings as well;
+/// the document is then returned with the last of them. No finding contains a
+/// value of the document, so that a key in it is not printed.
+std::optional<nlohmann::json> ParseJsonDocument(std::string_view text,
+                                                Findings& findings);
+
+/// JSON pointer of a member: appends `/name`, escaped as in RFC 6901.
+std::string JoinPointer(const std::string& pointer, std::string_view name);
+
+enum class Presence : std::uint8_t { kRequired, kOptional };
+
+/// Reads the members of one JSON object with checks. Each fault becomes a
+/// finding with the member's JSON pointer and leaves the output unchanged.
+/// `Finish` reports missing and unknown members, and members with a wrong unit
+/// suffix (`timeout_s` in place of `timeout_ms`).
+class ObjectReader {
+ public:
+  /// Reports `value` itself if it is not an object.
+  ObjectReader(const nlohmann::json& value, std::string pointer,
+               Findings& findings);
+
+  void Text(std::string_view name, Presence presence, std::string& out);
+  void Flag(std::string_view name, Presence presence, bool& out);
+  /// A finite number from `min` to `max`.
+  void Number(std::string_view name, Presence presence, double min, double max,
+              double& out);
+  template <typename T>
+  void Integer(std::string_view name, Presence presence, T min, T max, T& out) {
+    static_assert(std::is_integral_v<T>);
+    std::uint64_t value = 0;
+    if (ReadInteger(name, presence, static_cast<std::uint64_t>(min),
+                    static_cast<std::uint64_t>(max), value)) {
+      out = static_cast<T>(value);
+    }
+  }
+  /// A whole number of the unit that the name ends with: `_ms` or `_s`.
+  void Time(std::string_view name, Presence presence, Duration min,
+            Duration max, Duration& out);
+  /// One of a fixed set of words. `parse` returns an optional of T.
+  template <typename T, typename Parse>
+  void Choice(std::string_view name, Presence presence, Parse parse,
+              std::string_view allowed, T& out) {
+    std::string text;
+    if (!ReadText(name, presence, text)) return;
+    if (const auto value = parse(text)) {
+      out = *value;
+    } else {
+      Report(name, "out of range: expected one of " + std::string(allowed));
+    }
+  }
+  /// Calls `visit` for each member of an object.
+  using MemberVisitor =
+      std::function<void(const std::string& name, const nlohmann::json& value,
+                         const std::string& pointer)>;
+  void Members(std::string_view name, Presence presence,
+               const MemberVisitor& visit);
+  /// Calls `visit` for each element of an array.
+  using ElementVisitor = std::function<void(const nlohmann::json& value,
+                                            const std::string& pointer)>;
+  void Elements(std::string_view name, Presence presence,
+                const ElementVisitor& visit);
+
+  /// The member, or null. Counts as known.
+  const nlohmann::json* Find(std::string_view name, Presence presence);
+  /// Adds a finding for a member; for the object itself if `name` is empty.
+  void Report(std::string_view name, std::string text);
+  /// Call once, after all members.
+  void Finish();
+
+  bool is_object() const { return object_ != nullptr; }
+  const std::string& pointer() const { return pointer_; }
+
+ private:
+  bool ReadText(std::string_view name, Presence presence, std::string& out);
+  bool ReadInteger(std::string_view name, Presence presence, std::uint64_t min,
+                   std::uint64_t max, std::uint64_t& out);
+  std::string PointerTo(std::string_view name) const;
+  bool IsKnown(std::string_view name) const;
+  void ReportUnknown(const std::string& name);
+
+  const nlohmann::json* object_ = nullptr;
+  std::string pointer_;
+  Findings& findings_;
+  std::vector<std::string> known_;
+  std::vector<std::string> missing_;
+};
+
+}  // namespace lentilcross
