Add configuration parsing and the key ring

Cause: every module reads the published configuration. Change: Configuration::Parse reports all findings with JSON pointers; FindRoute tries only segment boundaries within the longest prefix and refuses dot segments; KeyRing compares all digests in constant time. A found key is checked again with the version that brought its digest and organisation.

--- a/include/lentilcross/configuration.h
+++ b/include/lentilcross/configuration.h
@@ -17,7 +17,9 @@
   FailureDomainId id;
   std::string name;
   std::string region;
-  double share = 0;  ///< Part of every organisation's rate and burst, 0 to 1.
+  /// Part of every organisation's rate and burst, 0 to 1. By default equal in
+  /// all domains.
+  double share = 0;
 };
 
 struct HostEntry {
@@ -83,12 +85,15 @@
   std::unordered_map<HostId, HostEntry> hosts;
   std::unordered_map<ServiceId, ServiceEntry> services;
   std::vector<RouteEntry> routes;  ///< Longest prefix first.
+  /// Index into `routes`.
+  std::unordered_map<RouteId, std::size_t> route_index;
   std::unordered_map<OrganisationId, OrganisationEntry> organisations;
   std::unordered_map<KeyId, KeyEntry> keys;
   std::map<std::string, PresetEntry> presets;
 
   /// Route with the longest prefix of `path`, on a segment boundary; null if
-  /// none.
+  /// none. A query is ignored. A path with a "." or ".." segment, also percent
+  /// encoded, has no route: a target could resolve it to another one.
   const RouteEntry* FindRoute(std::string_view path) const;
 
   /// Parses and validates a document in JSON with comments. The error carries
--- a/include/lentilcross/keys.h
+++ b/include/lentilcross/keys.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <memory>
 #include <string_view>
-#include <unordered_map>
+#include <vector>
 
 #include "lentilcross/configuration.h"
 #include "lentilcross/error.h"
@@ -22,17 +21,33 @@
     Reason reason = Reason::kUnknownKey;  ///< `kNone` if the key is good.
     KeyId key;
     OrganisationId organisation;
+    /// Version that brought the digest and the organisation of the key.
+    Version since;
   };
 
+  /// Takes over all keys of a configuration. Ignored if its version is lower
+  /// than that of the last one. Keys that it does not list stop working.
   void Apply(const Configuration& configuration);
 
+  /// Looks up the SHA-256 digest of a key: `kNone`, `kMissingKey` if empty,
+  /// `kUnknownKey` or `kWithdrawnKey`. Compares with every digest, each in
+  /// constant time, so that the time tells nothing about them.
   Lookup Find(std::string_view presented) const;
   /// Checks again a key found before, for a request that left a queue or came
-  /// on a connection opened earlier.
-  bool IsGood(KeyId key) const;
+  /// on a connection opened earlier. False if the key was withdrawn, is no
+  /// longer listed, or got another digest or organisation.
+  bool IsGood(const Lookup& found) const;
 
  private:
-  std::unordered_map<KeyId, KeyEntry> keys_;
+  struct Entry {
+    KeyEntry key;
+    Version since;
+  };
+
+  Version SinceOf(const KeyEntry& key, Version version) const;
+
+  Version version_;
+  std::vector<Entry> entries_;
 };
 
 }  // namespace lentilcross
--- /dev/null
+++ b/src/configuration_reader.cpp
@@ -0,0 +1,428 @@
+#include "configuration_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+#include "json_reader.h"
+#include "lentilcross/config.h"
+#include "lentilcross/peer_message.h"
+
+namespace lentilcross {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
+constexpr int kMaxRateOwners = 16;
+constexpr double kMinWeight = 1e-3;
+constexpr double kMaxWeight = 1e6;
+constexpr double kMaxRateFactor = 10;
+// Longer requests would hold records of calls and fences for too long.
+constexpr Duration kMaxTimeout = std::chrono::minutes(10);
+constexpr Duration kMaxQueue = std::chrono::minutes(1);
+// Rounding of decimal shares such as 0.1 ten times.
+constexpr double kShareTolerance = 1e-9;
+constexpr std::string_view kImportances =
+    "background, lookup, standard, critical";
+
+/// Names become HTTP header values, metric labels and log fields.
+bool IsName(std::string_view name) {
+  const auto allowed = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+  };
+  return !name.empty() && name.size() <= LENTILCROSS_CONFIG_MAX_NAME &&
+         std::all_of(name.begin(), name.end(), allowed);
+}
+
+bool IsPrefix(std::string_view prefix) {
+  const auto allowed = [](char c) {
+    return c > ' ' && c < 0x7F && c != '?' && c != '#' && c != '%';
+  };
+  return !prefix.empty() && prefix.size() <= LENTILCROSS_CONFIG_MAX_NAME &&
+         prefix.front() == '/' &&
+         std::all_of(prefix.begin(), prefix.end(), allowed);
+}
+
+std::optional<int> HexDigit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return std::nullopt;
+}
+
+std::optional<Sha256Digest> ParseDigest(std::string_view hex) {
+  Sha256Digest digest{};
+  if (hex.size() != 2 * digest.size()) return std::nullopt;
+  for (std::size_t i = 0; i < digest.size(); ++i) {
+    const auto high = HexDigit(hex[2 * i]);
+    const auto low = HexDigit(hex[2 * i + 1]);
+    if (!high || !low) return std::nullopt;
+    digest[i] = static_cast<std::uint8_t>(*high * 16 + *low);
+  }
+  return digest;
+}
+
+/// Names of one kind by their id, to find two names with the same hash.
+class NameTable {
+ public:
+  explicit NameTable(Findings& findings) : findings_(findings) {}
+
+  /// True if the name is well formed and new; else adds a finding.
+  bool Add(const std::string& name, const std::string& pointer) {
+    if (!IsName(name)) {
+      findings_.Add(pointer, "out of range: a name has 1 to " +
+                                 std::to_string(LENTILCROSS_CONFIG_MAX_NAME) +
+                                 " letters, digits, '-', '_' or '.'");
+      return false;
+    }
+    return AddHash(name, pointer);
+  }
+  bool AddHash(const std::string& name, const std::string& pointer) {
+    const auto [other, inserted] = names_.emplace(HashName(name), name);
+    if (inserted) return true;
+    findings_.Add(pointer, other->second == name
+                               ? "duplicate: \"" + name + "\" is already used"
+                               : "hash collision with \"" + other->second +
+                                     "\": choose another name");
+    return false;
+  }
+
+ private:
+  Findings& findings_;
+  std::unordered_map<std::uint64_t, std::string> names_;
+};
+
+/// Reads the sections in an order in which references can be checked.
+class Reader {
+ public:
+  Reader(const Json& document, Findings& findings)
+      : root_(document, "", findings), findings_(findings) {}
+
+  std::shared_ptr<const Configuration> Read() {
+    if (!root_.is_object()) return nullptr;
+    std::uint64_t version = 0;
+    root_.Integer<std::uint64_t>("version", Presence::kRequired, 1, kMaxVersion,
+                                 version);
+    result_->version = Version(version);
+    root_.Integer("rate_owners_per_domain", Presence::kOptional, 1,
+                  kMaxRateOwners, result_->rate_owners_per_domain);
+    ReadFailureDomains();
+    ReadHosts();
+    ReadServices();
+    ReadRoutes();
+    ReadOrganisations();
+    ReadKeys();
+    ReadPresets();
+    root_.Finish();
+    if (!findings_.empty()) return nullptr;
+    return result_;
+  }
+
+ private:
+  void ReadFailureDomains();
+  void CheckShares(const std::vector<FailureDomainId>& without_share);
+  void ReadHosts();
+  void ReadServices();
+  void ReadTarget(const Json& value, const std::string& pointer,
+                  ServiceEntry& service);
+  void ReadRoutes();
+  void ReadRoute(const std::string& name, const Json& value,
+                 const std::string& pointer);
+  void IndexRoutes();
+  void ReadOrganisations();
+  void ReadKeys();
+  void ReadPresets();
+  PresetEntry ReadPreset(const std::string& name, const Json& value,
+                         const std::string& pointer);
+
+  /// Reads a name that must be a key of `entries`.
+  template <typename Entries, typename Tag>
+  void Reference(ObjectReader& reader, std::string_view field,
+                 const Entries& entries, Id<Tag>& out) {
+    std::string name;
+    reader.Text(field, Presence::kRequired, name);
+    if (name.empty()) return CheckEmptyReference(reader, field);
+    out = Id<Tag>::FromName(name);
+    if (entries.find(out) == entries.end()) {
+      reader.Report(field, "dangling reference to \"" + name + "\"");
+    }
+  }
+  void CheckEmptyReference(ObjectReader& reader, std::string_view field) {
+    const Json* value = reader.Find(field, Presence::kOptional);
+    if (value != nullptr && value->is_string()) {
+      reader.Report(field, "dangling reference to \"\"");
+    }
+  }
+
+  ObjectReader root_;
+  Findings& findings_;
+  NameTable target_names_{findings_};
+  NameTable route_names_{findings_};
+  std::shared_ptr<Configuration> result_ = std::make_shared<Configuration>();
+};
+
+void Reader::ReadFailureDomains() {
+  NameTable names(findings_);
+  std::vector<FailureDomainId> without_share;
+  root_.Members(
+      "failure_domains", Presence::kRequired,
+      [&](const std::string& name, const Json& value,
+          const std::string& pointer) {
+        FailureDomainEntry entry;
+        entry.id = FailureDomainId::FromName(name);
+        entry.name = name;
+        ObjectReader reader(value, pointer, findings_);
+        reader.Text("region", Presence::kRequired, entry.region);
+        reader.Number("share", Presence::kOptional, 0, 1, entry.share);
+        if (value.is_object() && !value.contains("share")) {
+          without_share.push_back(entry.id);
+        }
+        reader.Finish();
+        if (names.Add(name, pointer)) {
+          result_->failure_domains.emplace(entry.id, std::move(entry));
+        }
+      });
+  CheckShares(without_share);
+}
+
+void Reader::CheckShares(const std::vector<FailureDomainId>& without_share) {
+  auto& domains = result_->failure_domains;
+  for (const FailureDomainId id : without_share) {
+    const auto found = domains.find(id);
+    if (found == domains.end()) continue;
+    found->second.share = 1.0 / static_cast<double>(domains.size());
+  }
+  double sum = 0;
+  for (const auto& [id, domain] : domains) sum += domain.share;
+  if (sum > 1 + kShareTolerance) {
+    root_.Report("failure_domains",
+                 "out of range: the sum of shares is above 1");
+  }
+}
+
+void Reader::ReadHosts() {
+  NameTable names(findings_);
+  std::unordered_map<std::string, std::string> peers;
+  root_.Members(
+      "hosts", Presence::kRequired,
+      [&](const std::string& name, const Json& value,
+          const std::string& pointer) {
+        HostEntry entry;
+        entry.id = HostId::FromName(name);
+        entry.name = name;
+        ObjectReader reader(value, pointer, findings_);
+        Reference(reader, "failure_domain", result_->failure_domains,
+                  entry.failure_domain);
+        reader.Endpoint("peer", Presence::kRequired, entry.peer);
+        if (!entry.peer.empty()) {
+          const auto [other, inserted] = peers.emplace(entry.peer, name);
+          if (!inserted) {
+            reader.Report("peer", "duplicate: also the address of \"" +
+                                      other->second + "\"");
+          }
+        }
+        reader.Finish();
+        if (names.Add(name, pointer)) {
+          result_->hosts.emplace(entry.id, std::move(entry));
+        }
+      });
+}
+
+void Reader::ReadServices() {
+  NameTable names(findings_);
+  root_.Members("services", Presence::kRequired,
+                [&](const std::string& name, const Json& value,
+                    const std::string& pointer) {
+                  ServiceEntry entry;
+                  entry.id = ServiceId::FromName(name);
+                  entry.name = name;
+                  ObjectReader reader(value, pointer, findings_);
+                  reader.Elements(
+                      "targets", Presence::kRequired,
+                      [&](const Json& target, const std::string& place) {
+                        ReadTarget(target, place, entry);
+                      });
+                  reader.Finish();
+                  if (names.Add(name, pointer)) {
+                    result_->services.emplace(entry.id, std::move(entry));
+                  }
+                });
+}
+
+void Reader::ReadTarget(const Json& value, const std::string& pointer,
+                        ServiceEntry& service) {
+  TargetEntry entry;
+  ObjectReader reader(value, pointer, findings_);
+  reader.Text("name", Presence::kRequired, entry.name);
+  Reference(reader, "host", result_->hosts, entry.host);
+  reader.Finish();
+  const Json* name = reader.Find("name", Presence::kOptional);
+  if (name == nullptr || !name->is_string()) return;
+  entry.id = TargetId::FromName(entry.name);
+  if (target_names_.Add(entry.name, JoinPointer(pointer, "name"))) {
+    service.targets.push_back(std::move(entry));
+  }
+}
+
+void Reader::ReadRoutes() {
+  root_.Members(
+      "routes", Presence::kRequired,
+      [&](const std::string& name, const Json& value,
+          const std::string& pointer) { ReadRoute(name, value, pointer); });
+  IndexRoutes();
+}
+
+void Reader::ReadRoute(const std::string& name, const Json& value,
+                       const std::string& pointer) {
+  RouteEntry entry;
+  ObjectReader reader(value, pointer, findings_);
+  Reference(reader, "service", result_->services, entry.service);
+  reader.Choice("importance", Presence::kRequired, ParseImportance,
+                kImportances, entry.importance);
+  reader.Flag("idempotent", Presence::kRequired, entry.idempotent);
+  reader.Flag("open", Presence::kOptional, entry.open);
+  reader.Time("timeout_ms", Presence::kRequired, std::chrono::milliseconds(1),
+              kMaxTimeout, entry.timeout);
+  reader.Finish();
+  if (!IsPrefix(name)) {
+    findings_.Add(pointer,
+                  "out of range: a route is a path without query, fragment, "
+                  "percent encoding or blanks");
+    return;
+  }
+  // "/stock/" means the same prefix as "/stock".
+  entry.prefix = name;
+  while (entry.prefix.size() > 1 && entry.prefix.back() == '/') {
+    entry.prefix.pop_back();
+  }
+  entry.id = RouteId::FromName(entry.prefix);
+  if (route_names_.AddHash(entry.prefix, pointer)) {
+    result_->routes.push_back(std::move(entry));
+  }
+}
+
+void Reader::IndexRoutes() {
+  auto& routes = result_->routes;
+  std::sort(routes.begin(), routes.end(),
+            [](const RouteEntry& a, const RouteEntry& b) {
+              if (a.prefix.size() != b.prefix.size()) {
+                return a.prefix.size() > b.prefix.size();
+              }
+              return a.prefix < b.prefix;
+            });
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    result_->route_index.emplace(routes[i].id, i);
+  }
+}
+
+void Reader::ReadOrganisations() {
+  NameTable names(findings_);
+  root_.Members(
+      "organisations", Presence::kRequired,
+      [&](const std::string& name, const Json& value,
+          const std::string& pointer) {
+        OrganisationEntry entry;
+        entry.id = OrganisationId::FromName(name);
+        entry.name = name;
+        ObjectReader reader(value, pointer, findings_);
+        reader.Number("rate", Presence::kRequired, 0, kMaxQuantity, entry.rate);
+        reader.Number("burst", Presence::kRequired, 0, kMaxQuantity,
+                      entry.burst);
+        reader.Number("weight", Presence::kOptional, kMinWeight, kMaxWeight,
+                      entry.weight);
+        reader.Finish();
+        if (name == kPublicOrganisation) {
+          findings_.Add(pointer,
+                        "out of range: the name is reserved for open routes");
+        } else if (names.Add(name, pointer)) {
+          result_->organisations.emplace(entry.id, std::move(entry));
+        }
+      });
+}
+
+void Reader::ReadKeys() {
+  NameTable names(findings_);
+  std::map<Sha256Digest, std::string> digests;
+  root_.Members(
+      "keys", Presence::kRequired,
+      [&](const std::string& name, const Json& value,
+          const std::string& pointer) {
+        KeyEntry entry;
+        entry.id = KeyId::FromName(name);
+        entry.name = name;
+        ObjectReader reader(value, pointer, findings_);
+        Reference(reader, "organisation", result_->organisations,
+                  entry.organisation);
+        std::optional<Sha256Digest> digest;
+        reader.Choice(
+            "sha256", Presence::kRequired,
+            [&](std::string_view hex) { return digest = ParseDigest(hex); },
+            "all strings of 64 hexadecimal digits", entry.sha256);
+        reader.Flag("withdrawn", Presence::kOptional, entry.withdrawn);
+        reader.Finish();
+        if (digest) {
+          const auto [other, inserted] = digests.emplace(*digest, name);
+          if (!inserted) {
+            reader.Report("sha256", "duplicate: same digest as key \"" +
+                                        other->second + "\"");
+          }
+        }
+        if (names.Add(name, pointer)) {
+          result_->keys.emplace(entry.id, std::move(entry));
+        }
+      });
+}
+
+void Reader::ReadPresets() {
+  std::string active;
+  root_.Text("preset", Presence::kRequired, active);
+  NameTable names(findings_);
+  root_.Members("presets", Presence::kRequired,
+                [&](const std::string& name, const Json& value,
+                    const std::string& pointer) {
+                  PresetEntry entry = ReadPreset(name, value, pointer);
+                  if (names.Add(name, pointer)) {
+                    result_->presets.emplace(name, std::move(entry));
+                  }
+                });
+  const auto found = result_->presets.find(active);
+  if (found != result_->presets.end()) {
+    result_->preset = found->second;
+    return;
+  }
+  const Json* preset = root_.Find("preset", Presence::kOptional);
+  if (preset != nullptr && preset->is_string()) {
+    root_.Report("preset", "dangling reference to \"" + active + "\"");
+  }
+}
+
+PresetEntry Reader::ReadPreset(const std::string& name, const Json& value,
+                               const std::string& pointer) {
+  PresetEntry entry;
+  entry.name = name;
+  ObjectReader reader(value, pointer, findings_);
+  reader.Number("rate_factor", Presence::kOptional, 0, kMaxRateFactor,
+                entry.rate_factor);
+  reader.Integer("extra_attempts", Presence::kOptional, 0,
+                 LENTILCROSS_CONFIG_MAX_EXTRA_ATTEMPTS, entry.extra_attempts);
+  reader.Time("queue_ms", Presence::kRequired, Duration::zero(), kMaxQueue,
+              entry.queue);
+  reader.Choice("refuse_importance_below", Presence::kOptional, ParseImportance,
+                kImportances, entry.refuse_below);
+  reader.Finish();
+  return entry;
+}
+
+}  // namespace
+
+std::shared_ptr<const Configuration> ReadConfiguration(const Json& document,
+                                                       Findings& findings) {
+  return Reader(document, findings).Read();
+}
+
+}  // namespace lentilcross
--- a/src/findings.cpp
+++ b/src/findings.cpp
@@ -7,6 +7,9 @@
   for (const auto& [place, text] : list_) {
     lines += source + ":" + place + ": " + text + "\n";
   }
+  if (omitted_ > 0) {
+    lines += source + ":: " + std::to_string(omitted_) + " more findings\n";
+  }
   return lines;
 }
 
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -1,7 +1,10 @@
 #include "json_reader.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <unordered_set>
 #include <utility>
@@ -202,6 +205,26 @@
   return joined;
 }
 
+bool IsEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  const std::string_view port = text.substr(colon + 1);
+  int number = 0;
+  const auto [end, error] =
+      std::from_chars(port.data(), port.data() + port.size(), number);
+  const bool port_good = error == std::errc() &&
+                         end == port.data() + port.size() && number >= 1 &&
+                         number <= 65535;
+  std::string ip(text.substr(0, colon));
+  int family = AF_INET;
+  if (ip.size() >= 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+    family = AF_INET6;
+  }
+  std::array<unsigned char, sizeof(in6_addr)> address{};
+  return port_good && inet_pton(family, ip.c_str(), address.data()) == 1;
+}
+
 ObjectReader::ObjectReader(const Json& value, std::string pointer,
                            Findings& findings)
     : pointer_(std::move(pointer)), findings_(findings) {
@@ -238,6 +261,16 @@
   ReadText(name, presence, out);
 }
 
+void ObjectReader::Endpoint(std::string_view name, Presence presence,
+                            std::string& out) {
+  std::string text;
+  if (!ReadText(name, presence, text)) return;
+  if (!IsEndpoint(text)) {
+    return Report(name, "out of range: expected \"ip:port\"");
+  }
+  out = text;
+}
+
 void ObjectReader::Flag(std::string_view name, Presence presence, bool& out) {
   const Json* value = Find(name, presence);
   if (value == nullptr) return;
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -26,6 +26,9 @@
 /// JSON pointer of a member: appends `/name`, escaped as in RFC 6901.
 std::string JoinPointer(const std::string& pointer, std::string_view name);
 
+/// True for "ip:port" or "[ip6]:port" with a port from 1 to 65535.
+bool IsEndpoint(std::string_view text);
+
 enum class Presence : std::uint8_t { kRequired, kOptional };
 
 /// Reads the members of one JSON object with checks. Each fault becomes a
@@ -55,6 +58,8 @@
   /// A whole number of the unit that the name ends with: `_ms` or `_s`.
   void Time(std::string_view name, Presence presence, Duration min,
             Duration max, Duration& out);
+  /// An address "ip:port" or "[ip6]:port" with a port from 1 to 65535.
+  void Endpoint(std::string_view name, Presence presence, std::string& out);
   /// One of a fixed set of words. `parse` returns an optional of T.
   template <typename T, typename Parse>
   void Choice(std::string_view name, Presence presence, Parse parse,
