Add admission at targets, shedding at entry and routing

Cause: the daemon needs decisions on overload that complete whole requests. Change: a concurrency limit from throughput and latency without queueing, a queue in classes with weighted max-min shares, levels for each organisation computed from measured capacity and the demand that no gate refuses, a gate that applies the highest level behind a route, and power-of-two routing with bounded ejection. Levels are now for each organisation, because one level for all lets an organisation that sends ten times its rate take ten times its share.

--- a/include/lentilcross/admission.h
+++ b/include/lentilcross/admission.h
@@ -12,7 +12,9 @@
 
 namespace lentilcross {
 
-/// Adaptive limit on concurrent calls at one target.
+/// Adaptive limit on concurrent calls at one target. Estimates how many calls
+/// the target serves at once as throughput times latency without queueing, both
+/// observed; a short phase below the estimate refreshes the latency.
 class ConcurrencyLimit {
  public:
   struct Init {
@@ -25,14 +27,37 @@
   explicit ConcurrencyLimit(const Init& init);
 
   int limit() const;
-  /// Feeds back one finished call.
+  /// Latency of a call that does not queue inside the target; 0 if unknown or
+  /// not observed lately.
+  Duration base_latency(Instant now) const;
+  /// Feeds back one finished call. `in_flight` counts it too.
   void Record(Sample sample, Duration latency, int in_flight, Instant now);
   /// The target restarted: starts again from `initial`.
   void Reset(Instant now);
 
  private:
+  struct Window {
+    Instant start{};
+    int finished = 0;
+    int ok = 0;
+    int refused = 0;
+    double latency_sum = 0;  ///< Seconds, of calls that ended well.
+    bool bound = false;      ///< The limit was reached.
+  };
+  void CloseWindow(double seconds, Instant now);
+  void Adjust(double latency, double throughput);
+  void LearnBase(double latency);
+
   Init init_;
   double limit_;
+  double base_ = 0;        ///< Seconds; 0: unknown.
+  double throughput_ = 0;  ///< Calls per second while the limit was reached.
+  double latency_ = 0;     ///< Seconds, mean of the last window.
+  bool starting_ = true;   ///< Slow start: doubles until latency rises.
+  bool probing_ = false;   ///< Runs below the estimate to refresh `base_`.
+  int since_probe_ = 0;
+  Instant last_sample_{};
+  Window window_;
 };
 
 /// Admission of calls at one target: concurrency limit, bounded queue, order of
@@ -85,8 +110,10 @@
   Actions Tick(Instant now);
   void OnTargetRestart(Instant now);
 
-  /// Shedding level of this target: requests that rank below are refused.
-  std::uint32_t level(Instant now) const;
+  /// Shedding level of this target for one organisation, as replies carry it:
+  /// requests of the organisation that rank below it should be refused at
+  /// entry. 0: none.
+  std::uint32_t level(OrganisationId organisation, Instant now) const;
   int limit() const;
   int in_flight() const;
   std::size_t queued() const;
--- a/include/lentilcross/routing.h
+++ b/include/lentilcross/routing.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 #include "lentilcross/configuration.h"
@@ -41,19 +43,63 @@
   static Result<Router> Create(const Init& init);
 
   void Apply(std::shared_ptr<const Configuration> configuration, Instant now);
-  /// Avoids the targets in `tried` unless nothing else is left.
+  /// Avoids the targets in `tried` unless nothing else is left. Never chooses a
+  /// host that is suspected, leaving or left.
   std::optional<Pick> Choose(ServiceId service, const Membership& membership,
                              const std::vector<TargetId>& tried, Instant now,
                              Random& random);
+  /// A chosen target is about to be called. Each start is followed by one
+  /// `OnEnd`.
   void OnStart(TargetId target);
   void OnEnd(TargetId target, Observation observation, Duration latency,
              Instant now);
   const Stats& stats() const { return stats_; }
 
  private:
+  struct Target {
+    TargetEntry entry;
+    int distance = 0;  ///< 0 own failure domain, 1 own region, 2 elsewhere.
+    int outstanding = 0;
+    int consecutive_failures = 0;
+    double failure_ratio = 0;  ///< Moving average.
+    bool ejected = false;
+    int ejection_count = 0;  ///< Ejections without a lasting success between.
+    int probes_out = 0;
+    Instant ejected_until{};
+    Instant ramp_start{};  ///< Slow start begins here; epoch: fully warm.
+    Incarnation incarnation;
+  };
+  struct Service {
+    std::vector<Target> targets;
+    std::array<double, 3> shed_ratio{};  ///< Moving average, by distance.
+  };
+  struct Place {
+    ServiceId service;
+    std::size_t index = 0;
+  };
+
   explicit Router(const Init& init) : init_(init) {}
+  Service Merge(const ServiceEntry& entry, const Configuration& configuration,
+                Instant now);
+  int DistanceTo(HostId host, const Configuration& configuration) const;
+  Target* Find(TargetId target);
+  Target* PickProbe(Service& service, const Membership& membership,
+                    const std::vector<TargetId>& tried, Instant now);
+  Target* PickAt(Service& service, const std::vector<std::size_t>& usable,
+                 int distance, Instant now, Random& random) const;
+  Target* PickNear(Service& service, Instant now, Random& random);
+  void CollectUsable(Service& service, const Membership& membership,
+                     const std::vector<TargetId>& tried, Instant now);
+  double Load(const Target& target, Instant now) const;
+  void Eject(Service& service, Target& target, Instant now);
+  void EndProbe(Target& target, bool ok, Instant now);
+  void Judge(Service& service, Target& target, bool ok, Instant now);
+
   Init init_;
   Stats stats_;
+  std::unordered_map<ServiceId, Service> services_;
+  std::unordered_map<TargetId, Place> places_;
+  std::vector<std::size_t> usable_;  ///< Reused by each choice.
 };
 
 }  // namespace lentilcross
--- a/include/lentilcross/shedding.h
+++ b/include/lentilcross/shedding.h
@@ -13,8 +13,12 @@
 /// then a stable hash of the request id, so that all hops agree.
 std::uint32_t RankOf(Importance importance, const RequestId& request);
 
+/// Bits of a rank below the importance.
+inline constexpr int kRankHashBits = 30;
+
 /// Refuses requests at entry that would be refused by a service behind their
-/// route. Learns the services behind a route, and their levels, from replies.
+/// route. Learns the services behind a route, and their levels for each
+/// organisation, from replies.
 class EntryGate {
  public:
   struct Init {
@@ -33,20 +37,40 @@
 
   explicit EntryGate(const Init& init) : init_(init) {}
 
-  Verdict Admit(RouteId route, Importance importance, const RequestId& request,
-                Instant now, Random& random);
-  void OnReply(RouteId route, const std::vector<ServiceLevel>& levels,
-               Instant now);
+  Verdict Admit(RouteId route, OrganisationId organisation,
+                Importance importance, const RequestId& request, Instant now,
+                Random& random);
+  /// `levels` are those that the targets stated for `organisation`.
+  void OnReply(RouteId route, OrganisationId organisation,
+               const std::vector<ServiceLevel>& levels, Instant now);
+  /// Level in force for requests of the organisation on the route.
+  std::uint32_t level(RouteId route, OrganisationId organisation,
+                      Instant now) const;
   const Stats& stats() const { return stats_; }
 
  private:
   struct Level {
-    std::uint32_t level = 0;
+    ServiceId service;
+    double level = 0;
     Instant heard{};
   };
+  struct Key {
+    RouteId route;
+    OrganisationId organisation;
+    friend bool operator==(const Key& a, const Key& b) {
+      return a.route == b.route && a.organisation == b.organisation;
+    }
+  };
+  struct KeyHash {
+    std::size_t operator()(const Key& key) const noexcept {
+      return key.route.value() ^ (key.organisation.value() * 31);
+    }
+  };
+  double Current(const Level& level, Instant now) const;
+
   Init init_;
   Stats stats_;
-  std::unordered_map<RouteId, std::unordered_map<ServiceId, Level>> routes_;
+  std::unordered_map<Key, std::vector<Level>, KeyHash> levels_;
 };
 
 }  // namespace lentilcross
--- /dev/null
+++ b/src/admission.cpp
@@ -0,0 +1,190 @@
+#include "lentilcross/admission.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "call_queue.h"
+#include "lentilcross/shedding.h"
+#include "level_estimator.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+// A refused caller waits at least this long, and up to as much more as jitter.
+constexpr Duration kRetryAfter = milliseconds(500);
+// Room in the queue for short bursts at targets with few calls.
+constexpr std::size_t kFewestQueued = 8;
+// A queue that did not empty for this part of its longest wait is standing.
+constexpr int kStandingDivisor = 2;
+
+}  // namespace
+
+struct TargetAdmission::Impl {
+  explicit Impl(const Init& given) : init(given), limit(given.limit) {}
+
+  struct Running {
+    Instant started{};
+  };
+
+  void Start(const Entry& entry, Instant now, Actions& actions);
+  void StartQueued(Instant now, Actions& actions);
+  void Shed(const Entry& entry, Reason reason, Actions& actions);
+  void ShedOverflow(std::uint64_t arrived, Instant now, Actions& actions);
+  void DropExpired(Instant now, Actions& actions);
+  void Observe(Instant now);
+  bool has_room() const {
+    return static_cast<int>(running.size()) < limit.limit();
+  }
+  std::size_t queue_bound() const;
+
+  Init init;
+  ConcurrencyLimit limit;
+  CallQueue queue;
+  LevelEstimator levels{Instant{}};
+  std::unordered_map<std::uint64_t, Running> running;
+  Instant queue_empty_at{};
+  Stats stats;
+};
+
+std::size_t TargetAdmission::Impl::queue_bound() const {
+  const double calls =
+      levels.start_rate() * Seconds(init.longest_queue).count();
+  return std::clamp(static_cast<std::size_t>(calls), kFewestQueued,
+                    std::max(kFewestQueued, init.max_queued));
+}
+
+void TargetAdmission::Impl::Start(const Entry& entry, Instant now,
+                                  Actions& actions) {
+  running[entry.number] = {now};
+  queue.CountStart(entry.organisation, entry.weight, now);
+  levels.CountStart(entry.importance);
+  ++stats.admitted;
+  actions.start.push_back(entry.number);
+}
+
+void TargetAdmission::Impl::StartQueued(Instant now, Actions& actions) {
+  const bool standing =
+      now - queue_empty_at > init.longest_queue / kStandingDivisor;
+  while (has_room() && queue.size() > 0) {
+    const auto next = queue.PopNext(standing, now);
+    Start(next->entry, now, actions);
+  }
+  if (queue.size() == 0) queue_empty_at = now;
+  if (has_room()) levels.CountIdle();
+}
+
+void TargetAdmission::Impl::Shed(const Entry& entry, Reason reason,
+                                 Actions& actions) {
+  // The request's hash spreads the retries; it needs no random source.
+  const auto hash = RankOf(Importance::kBackground, entry.request);
+  const Duration jitter = Duration(hash) % kRetryAfter;
+  actions.refuse.push_back({entry.number, reason, kRetryAfter + jitter});
+}
+
+void TargetAdmission::Impl::ShedOverflow(std::uint64_t arrived, Instant now,
+                                         Actions& actions) {
+  while (queue.size() > queue_bound()) {
+    const auto lowest = queue.PopLowest(now);
+    levels.CountShed();
+    ++(lowest->entry.number == arrived ? stats.shed : stats.evicted);
+    Shed(lowest->entry, Reason::kOverloaded, actions);
+  }
+}
+
+void TargetAdmission::Impl::DropExpired(Instant now, Actions& actions) {
+  const Duration needed = limit.base_latency(now);
+  const Instant oldest = now - init.longest_queue;
+  for (const auto& call : queue.PopExpired(now, needed, oldest)) {
+    levels.CountShed();
+    ++stats.expired;
+    const bool late = call.entry.deadline < now + needed;
+    Shed(call.entry, late ? Reason::kDeadlineExceeded : Reason::kOverloaded,
+         actions);
+  }
+}
+
+void TargetAdmission::Impl::Observe(Instant now) {
+  const double base = Seconds(limit.base_latency(now)).count();
+  levels.Update(base > 0 ? limit.limit() / base : 0, now);
+}
+
+TargetAdmission::TargetAdmission(const Init& init)
+    : impl_(std::make_shared<Impl>(init)) {}
+
+void TargetAdmission::SetLongestQueue(Duration longest_queue) {
+  impl_->init.longest_queue = longest_queue;
+}
+
+TargetAdmission::Actions TargetAdmission::Offer(const Entry& entry,
+                                                Instant now) {
+  Actions actions;
+  Impl& impl = *impl_;
+  impl.levels.CountArrival(entry.organisation, entry.weight, entry.importance,
+                           RankOf(entry.importance, entry.request));
+  if (entry.deadline < now + impl.limit.base_latency(now)) {
+    ++impl.stats.expired;
+    impl.Shed(entry, Reason::kDeadlineExceeded, actions);
+  } else if (impl.queue.size() == 0 && impl.has_room()) {
+    impl.Start(entry, now, actions);
+    impl.queue_empty_at = now;
+  } else {
+    impl.queue.Push(entry, now);
+    ++impl.stats.queued;
+    impl.StartQueued(now, actions);
+    impl.ShedOverflow(entry.number, now, actions);
+  }
+  impl.Observe(now);
+  return actions;
+}
+
+TargetAdmission::Actions TargetAdmission::Finish(
+    std::uint64_t number, ConcurrencyLimit::Sample sample, Instant now) {
+  Actions actions;
+  Impl& impl = *impl_;
+  const auto found = impl.running.find(number);
+  if (found == impl.running.end()) return actions;
+  impl.limit.Record(sample, now - found->second.started,
+                    static_cast<int>(impl.running.size()), now);
+  impl.running.erase(found);
+  impl.DropExpired(now, actions);
+  impl.StartQueued(now, actions);
+  impl.Observe(now);
+  return actions;
+}
+
+bool TargetAdmission::Cancel(std::uint64_t number) {
+  return impl_->queue.Remove(number);
+}
+
+TargetAdmission::Actions TargetAdmission::Tick(Instant now) {
+  Actions actions;
+  impl_->DropExpired(now, actions);
+  impl_->StartQueued(now, actions);
+  impl_->queue.Prune(now);
+  impl_->Observe(now);
+  return actions;
+}
+
+void TargetAdmission::OnTargetRestart(Instant now) { impl_->limit.Reset(now); }
+
+std::uint32_t TargetAdmission::level(OrganisationId organisation,
+                                     Instant now) const {
+  return impl_->levels.level(organisation, now);
+}
+
+int TargetAdmission::limit() const { return impl_->limit.limit(); }
+
+int TargetAdmission::in_flight() const {
+  return static_cast<int>(impl_->running.size());
+}
+
+std::size_t TargetAdmission::queued() const { return impl_->queue.size(); }
+
+const TargetAdmission::Stats& TargetAdmission::stats() const {
+  return impl_->stats;
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/call_queue.cpp
@@ -0,0 +1,151 @@
+#include "call_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "lentilcross/shedding.h"
+
+namespace lentilcross {
+namespace {
+
+// Shares are equal over this time. Longer lets an organisation that was idle
+// take more than its share at once; shorter is noise at few calls per second.
+constexpr double kShareSeconds = 1.0;
+constexpr double kIdleUse = 0.01;
+
+double Decay(Duration elapsed) {
+  return std::exp(-std::chrono::duration<double>(elapsed).count() /
+                  kShareSeconds);
+}
+
+}  // namespace
+
+double CallQueue::UsedPerWeight(const Organisation& organisation, Instant now) {
+  return organisation.used * Decay(now - organisation.used_at) /
+         organisation.weight;
+}
+
+void CallQueue::Push(const TargetAdmission::Entry& entry, Instant now) {
+  Organisation& organisation = organisations_[entry.organisation];
+  organisation.weight = std::max(entry.weight, 1e-6);
+  const auto level = static_cast<std::size_t>(entry.importance);
+  organisation.classes[level].push_back(
+      {entry, RankOf(entry.importance, entry.request), now});
+  ++class_sizes_[level];
+  ++size_;
+}
+
+std::optional<CallQueue::Waiting> CallQueue::PopNext(bool newest_first,
+                                                     Instant now) {
+  std::size_t level = kImportanceCount;
+  while (level > 0 && class_sizes_[level - 1] == 0) --level;
+  if (level == 0) return std::nullopt;
+  --level;
+  Organisation* least = nullptr;
+  double least_used = 0;
+  for (auto& [id, organisation] : organisations_) {
+    if (organisation.classes[level].empty()) continue;
+    const double used = UsedPerWeight(organisation, now);
+    if (least != nullptr && used >= least_used) continue;
+    least = &organisation;
+    least_used = used;
+  }
+  Class& calls = least->classes[level];
+  const Waiting next = newest_first ? calls.back() : calls.front();
+  if (newest_first) {
+    calls.pop_back();
+  } else {
+    calls.pop_front();
+  }
+  --class_sizes_[level];
+  --size_;
+  return next;
+}
+
+std::optional<CallQueue::Waiting> CallQueue::PopLowest(Instant now) {
+  std::size_t level = 0;
+  while (level < kImportanceCount && class_sizes_[level] == 0) ++level;
+  if (level == kImportanceCount) return std::nullopt;
+  Organisation* most = nullptr;
+  double most_used = 0;
+  for (auto& [id, organisation] : organisations_) {
+    const Class& calls = organisation.classes[level];
+    if (calls.empty()) continue;
+    // Queued calls count too: they are the part that is not used yet.
+    const double used = UsedPerWeight(organisation, now) +
+                        static_cast<double>(calls.size()) / organisation.weight;
+    if (most != nullptr && used <= most_used) continue;
+    most = &organisation;
+    most_used = used;
+  }
+  Class& calls = most->classes[level];
+  const auto lowest = std::min_element(
+      calls.begin(), calls.end(),
+      [](const Waiting& a, const Waiting& b) { return a.rank < b.rank; });
+  const Waiting shed = *lowest;
+  calls.erase(lowest);
+  --class_sizes_[level];
+  --size_;
+  return shed;
+}
+
+std::vector<CallQueue::Waiting> CallQueue::PopExpired(Instant now,
+                                                      Duration needed,
+                                                      Instant oldest) {
+  std::vector<Waiting> expired;
+  for (auto& [id, organisation] : organisations_) {
+    for (std::size_t level = 0; level < kImportanceCount; ++level) {
+      Class& calls = organisation.classes[level];
+      const auto keep = std::stable_partition(
+          calls.begin(), calls.end(), [&](const Waiting& call) {
+            return call.entry.deadline >= now + needed &&
+                   call.arrived >= oldest;
+          });
+      expired.insert(expired.end(), keep, calls.end());
+      const auto count = static_cast<std::size_t>(calls.end() - keep);
+      class_sizes_[level] -= count;
+      size_ -= count;
+      calls.erase(keep, calls.end());
+    }
+  }
+  return expired;
+}
+
+bool CallQueue::Remove(std::uint64_t number) {
+  for (auto& [id, organisation] : organisations_) {
+    for (std::size_t level = 0; level < kImportanceCount; ++level) {
+      Class& calls = organisation.classes[level];
+      const auto found = std::find_if(
+          calls.begin(), calls.end(),
+          [&](const Waiting& call) { return call.entry.number == number; });
+      if (found == calls.end()) continue;
+      calls.erase(found);
+      --class_sizes_[level];
+      --size_;
+      return true;
+    }
+  }
+  return false;
+}
+
+void CallQueue::CountStart(OrganisationId id, double weight, Instant now) {
+  Organisation& organisation = organisations_[id];
+  organisation.weight = std::max(weight, 1e-6);
+  organisation.used = organisation.used * Decay(now - organisation.used_at) + 1;
+  organisation.used_at = now;
+}
+
+bool CallQueue::IsIdle(const Organisation& organisation, Instant now) const {
+  const bool empty =
+      std::all_of(organisation.classes.begin(), organisation.classes.end(),
+                  [](const Class& calls) { return calls.empty(); });
+  return empty && UsedPerWeight(organisation, now) < kIdleUse;
+}
+
+void CallQueue::Prune(Instant now) {
+  for (auto it = organisations_.begin(); it != organisations_.end();) {
+    it = IsIdle(it->second, now) ? organisations_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/call_queue.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "lentilcross/admission.h"
+
+namespace lentilcross {
+
+/// Queue of calls that wait for one target, in classes by importance. Starts
+/// the highest class first and, within it, the organisation that used least for
+/// its weight. Sheds in the opposite order, lowest request hash first.
+class CallQueue {
+ public:
+  struct Waiting {
+    TargetAdmission::Entry entry;
+    std::uint32_t rank = 0;
+    Instant arrived{};
+  };
+
+  std::size_t size() const { return size_; }
+  void Push(const TargetAdmission::Entry& entry, Instant now);
+  /// Next call to start; the newest of its organisation if `newest_first`.
+  std::optional<Waiting> PopNext(bool newest_first, Instant now);
+  /// Call to shed first.
+  std::optional<Waiting> PopLowest(Instant now);
+  /// Removes the calls that must start before `now + needed` but cannot, and
+  /// those that arrived before `oldest`.
+  std::vector<Waiting> PopExpired(Instant now, Duration needed, Instant oldest);
+  bool Remove(std::uint64_t number);
+  /// Counts a start of the organisation for its share.
+  void CountStart(OrganisationId organisation, double weight, Instant now);
+  /// Forgets organisations without recent calls.
+  void Prune(Instant now);
+
+ private:
+  using Class = std::deque<Waiting>;
+  struct Organisation {
+    double weight = 1;
+    double used = 0;  ///< Decaying count of starts.
+    Instant used_at{};
+    std::array<Class, kImportanceCount> classes;
+  };
+  static double UsedPerWeight(const Organisation& organisation, Instant now);
+  bool IsIdle(const Organisation& organisation, Instant now) const;
+
+  std::unordered_map<OrganisationId, Organisation> organisations_;
+  std::array<std::size_t, kImportanceCount> class_sizes_{};
+  std::size_t size_ = 0;
+};
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/level_estimator.cpp
@@ -0,0 +1,184 @@
+#include "level_estimator.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <numeric>
+
+#include "lentilcross/shedding.h"
+
+namespace lentilcross {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr Seconds kWindow{0.05};
+// Without events for this long the window says nothing about the target.
+constexpr Seconds kStale{0.5};
+constexpr double kHashes = static_cast<double>(1U << kRankHashBits);
+// Gates let slightly more through than the measured capacity: an idle slot is
+// lost goodput, a call that is shed here cost only the work before it.
+constexpr double kSurplus = 1.02;
+constexpr double kGrowth = 1.1;
+constexpr double kSmoothing = 0.3;
+constexpr double kFewestKept = 0.02;
+constexpr int kFillSteps = 30;
+
+std::uint32_t LevelAt(int importance, double refused_share) {
+  const double hash = std::clamp(refused_share, 0.0, 1.0) * (kHashes - 1);
+  return (static_cast<std::uint32_t>(importance) << kRankHashBits) |
+         static_cast<std::uint32_t>(hash);
+}
+
+// Part of the requests of one importance that rank at or above a level.
+double KeptShare(int importance, std::uint32_t level) {
+  const int at = static_cast<int>(level >> kRankHashBits);
+  if (at != importance) return at < importance ? 1 : 0;
+  const std::uint32_t hash = level & ((1U << kRankHashBits) - 1);
+  return 1 - static_cast<double>(hash) / kHashes;
+}
+
+}  // namespace
+
+void LevelEstimator::CountArrival(OrganisationId id, double weight,
+                                  Importance importance, std::uint32_t rank) {
+  Organisation& organisation = organisations_[id];
+  organisation.weight = std::max(weight, 1e-6);
+  Demand& demand = organisation.demands[static_cast<std::size_t>(importance)];
+  ++demand.seen;
+  if (rank >= organisation.highest_recent) ++demand.unshed;
+}
+
+void LevelEstimator::CountStart(Importance importance) {
+  ++starts_[static_cast<std::size_t>(importance)];
+}
+
+void LevelEstimator::Update(double ceiling, Instant now) {
+  const Seconds elapsed = now - window_start_;
+  if (elapsed < kWindow) return;
+  if (elapsed > kStale) {
+    organisations_.clear();
+    capacity_ = 0;
+    base_level_ = 0;
+    StartWindow(now);
+    return;
+  }
+  EstimateCapacity(elapsed.count(), ceiling);
+  for (auto& [id, organisation] : organisations_) {
+    EstimateDemand(organisation, elapsed.count());
+  }
+  ComputeLevels();
+  Remember();
+  StartWindow(now);
+}
+
+void LevelEstimator::EstimateCapacity(double seconds, double ceiling) {
+  const int starts = std::accumulate(starts_.begin(), starts_.end(), 0);
+  const double rate = starts / seconds;
+  start_rate_ += kSmoothing * (rate - start_rate_);
+  if (shed_ > 0 && !idle_) {
+    const double sustained = kSurplus * rate;
+    capacity_ = capacity_ == 0
+                    ? sustained
+                    : capacity_ + kSmoothing * (sustained - capacity_);
+  } else if (idle_ && capacity_ > 0) {
+    capacity_ = std::max(capacity_ * kGrowth, ceiling);
+  }
+}
+
+void LevelEstimator::EstimateDemand(Organisation& organisation,
+                                    double seconds) const {
+  for (int i = 0; i < kImportanceCount; ++i) {
+    Demand& demand = organisation.demands[static_cast<std::size_t>(i)];
+    const double kept = KeptShare(i, organisation.highest_recent);
+    if (kept > 0) {
+      const double rate = demand.unshed / seconds / std::max(kept, kFewestKept);
+      demand.rate += kSmoothing * (rate - demand.rate);
+    } else {
+      // Gates refuse all of it: what arrives is only a lower bound.
+      demand.rate = std::max(demand.rate, demand.seen / seconds);
+    }
+  }
+}
+
+int LevelEstimator::FindMarginal(double& remaining) const {
+  remaining = capacity_;
+  for (int i = kImportanceCount - 1; i >= 0; --i) {
+    double wanted = 0;
+    for (const auto& [id, organisation] : organisations_) {
+      wanted += organisation.demands[static_cast<std::size_t>(i)].rate;
+    }
+    if (wanted > remaining) return i;
+    remaining -= wanted;
+  }
+  return -1;
+}
+
+// Gives each organisation its share when `fill` calls per second and weight are
+// allowed, counting its calls of higher importance; returns the sum.
+double LevelEstimator::Shares(int marginal, double fill) {
+  double sum = 0;
+  for (auto& [id, organisation] : organisations_) {
+    double higher = 0;
+    for (int i = marginal + 1; i < kImportanceCount; ++i) {
+      higher += organisation.demands[static_cast<std::size_t>(i)].rate;
+    }
+    const double wanted =
+        organisation.demands[static_cast<std::size_t>(marginal)].rate;
+    organisation.share =
+        std::clamp(fill * organisation.weight - higher, 0.0, wanted);
+    sum += organisation.share;
+  }
+  return sum;
+}
+
+void LevelEstimator::ComputeLevels() {
+  double remaining = 0;
+  const int marginal = capacity_ > 0 ? FindMarginal(remaining) : -1;
+  base_level_ = marginal < 0 ? 0 : LevelAt(marginal, 0);
+  if (marginal < 0) {
+    for (auto& [id, organisation] : organisations_) organisation.level = 0;
+    return;
+  }
+  double low = 0;
+  double high = 1;
+  while (Shares(marginal, high) < remaining && high < 1e12) high *= 2;
+  for (int step = 0; step < kFillSteps; ++step) {
+    const double fill = (low + high) / 2;
+    (Shares(marginal, fill) < remaining ? low : high) = fill;
+  }
+  Shares(marginal, high);
+  for (auto& [id, organisation] : organisations_) {
+    const double wanted =
+        organisation.demands[static_cast<std::size_t>(marginal)].rate;
+    const double refused = wanted > 0 ? 1 - organisation.share / wanted : 0;
+    organisation.level = LevelAt(marginal, refused);
+  }
+}
+
+void LevelEstimator::Remember() {
+  for (auto& [id, organisation] : organisations_) {
+    organisation.recent[next_recent_] = organisation.level;
+    organisation.highest_recent = *std::max_element(organisation.recent.begin(),
+                                                    organisation.recent.end());
+  }
+  next_recent_ = (next_recent_ + 1) % kRecentLevels;
+}
+
+void LevelEstimator::StartWindow(Instant now) {
+  window_start_ = now;
+  starts_.fill(0);
+  shed_ = 0;
+  idle_ = false;
+  for (auto& [id, organisation] : organisations_) {
+    for (Demand& demand : organisation.demands) demand.seen = demand.unshed = 0;
+  }
+}
+
+std::uint32_t LevelEstimator::level(OrganisationId id, Instant now) const {
+  if (now - window_start_ > kStale) return 0;
+  const auto found = organisations_.find(id);
+  return found == organisations_.end() ? base_level_ : found->second.level;
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/routing.cpp
@@ -0,0 +1,278 @@
+#include "lentilcross/routing.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+constexpr int kDistances = 3;
+// A target is ejected after this many failures in a row, or when this share of
+// its recent calls failed.
+constexpr int kFailuresToEject = 5;
+constexpr double kRatioToEject = 0.5;
+constexpr double kRatioSmoothing = 0.05;
+constexpr double kShedSmoothing = 0.02;
+constexpr Duration kFirstEjection = milliseconds(500);
+constexpr int kMostDoublings = 5;
+// One call at a time tests an ejected target.
+constexpr int kMostProbes = 1;
+// Weight of a target at the begin of its slow start.
+constexpr double kSmallestWeight = 0.1;
+
+bool Contains(const std::vector<TargetId>& targets, TargetId target) {
+  return std::find(targets.begin(), targets.end(), target) != targets.end();
+}
+
+}  // namespace
+
+Result<Router> Router::Create(const Init& init) {
+  Findings findings;
+  if (!init.self.valid()) findings.Add("self", "missing");
+  if (!(init.max_ejected >= 0 && init.max_ejected <= 1)) {
+    findings.Add("max_ejected", "out of range 0 to 1");
+  }
+  if (init.slow_start < Duration::zero()) {
+    findings.Add("slow_start", "negative");
+  }
+  if (!findings.empty()) return boost::leaf::new_error(findings);
+  return Router(init);
+}
+
+int Router::DistanceTo(HostId host, const Configuration& configuration) const {
+  const auto found = configuration.hosts.find(host);
+  if (found == configuration.hosts.end()) return kDistances - 1;
+  const FailureDomainId domain = found->second.failure_domain;
+  if (domain == init_.failure_domain) return 0;
+  const auto there = configuration.failure_domains.find(domain);
+  const auto here = configuration.failure_domains.find(init_.failure_domain);
+  const bool both = there != configuration.failure_domains.end() &&
+                    here != configuration.failure_domains.end();
+  return both && there->second.region == here->second.region ? 1 : 2;
+}
+
+Router::Service Router::Merge(const ServiceEntry& entry,
+                              const Configuration& configuration, Instant now) {
+  const auto old = services_.find(entry.id);
+  Service merged;
+  for (const TargetEntry& target : entry.targets) {
+    Target state;
+    if (const Target* known = Find(target.id)) {
+      state = *known;
+    } else if (old != services_.end()) {
+      state.ramp_start = now;  // added to a running service
+    }
+    state.entry = target;
+    state.distance = DistanceTo(target.host, configuration);
+    merged.targets.push_back(state);
+  }
+  if (old != services_.end()) merged.shed_ratio = old->second.shed_ratio;
+  return merged;
+}
+
+void Router::Apply(std::shared_ptr<const Configuration> configuration,
+                   Instant now) {
+  std::unordered_map<ServiceId, Service> services;
+  for (const auto& [id, entry] : configuration->services) {
+    services.emplace(id, Merge(entry, *configuration, now));
+  }
+  services_ = std::move(services);
+  places_.clear();
+  for (const auto& [id, service] : services_) {
+    for (std::size_t i = 0; i < service.targets.size(); ++i) {
+      places_[service.targets[i].entry.id] = {id, i};
+    }
+  }
+}
+
+Router::Target* Router::Find(TargetId target) {
+  const auto place = places_.find(target);
+  if (place == places_.end()) return nullptr;
+  return &services_[place->second.service].targets[place->second.index];
+}
+
+void Router::CollectUsable(Service& service, const Membership& membership,
+                           const std::vector<TargetId>& tried, Instant now) {
+  usable_.clear();
+  for (std::size_t i = 0; i < service.targets.size(); ++i) {
+    Target& target = service.targets[i];
+    if (const auto* member = membership.Find(target.entry.host)) {
+      const bool restarted = target.incarnation.valid() &&
+                             target.incarnation != member->incarnation;
+      if (restarted) target.ramp_start = now;
+      target.incarnation = member->incarnation;
+    }
+    if (target.ejected || !membership.IsUsable(target.entry.host)) continue;
+    if (!Contains(tried, target.entry.id)) usable_.push_back(i);
+  }
+}
+
+Router::Target* Router::PickProbe(Service& service,
+                                  const Membership& membership,
+                                  const std::vector<TargetId>& tried,
+                                  Instant now) {
+  for (Target& target : service.targets) {
+    const bool due = target.ejected && now >= target.ejected_until &&
+                     target.probes_out < kMostProbes;
+    if (!due || Contains(tried, target.entry.id)) continue;
+    if (membership.IsUsable(target.entry.host)) return &target;
+  }
+  return nullptr;
+}
+
+// Outstanding work per weight; the weight grows during slow start.
+double Router::Load(const Target& target, Instant now) const {
+  double weight = 1;
+  if (target.ramp_start != Instant{} && init_.slow_start > Duration::zero()) {
+    const double grown =
+        Seconds(now - target.ramp_start) / Seconds(init_.slow_start);
+    weight = std::clamp(grown, kSmallestWeight, 1.0);
+  }
+  return (target.outstanding + 1) / weight;
+}
+
+Router::Target* Router::PickAt(Service& service,
+                               const std::vector<std::size_t>& usable,
+                               int distance, Instant now,
+                               Random& random) const {
+  std::size_t count = 0;
+  for (const std::size_t i : usable) {
+    count += service.targets[i].distance == distance ? 1 : 0;
+  }
+  if (count == 0) return nullptr;
+  const auto nth = [&](std::size_t n) {
+    for (const std::size_t i : usable) {
+      if (service.targets[i].distance != distance) continue;
+      if (n-- == 0) return &service.targets[i];
+    }
+    return static_cast<Target*>(nullptr);
+  };
+  std::uniform_int_distribution<std::size_t> pick(0, count - 1);
+  const std::size_t first = pick(random);
+  if (count == 1) return nth(first);
+  const std::size_t step =
+      1 + std::uniform_int_distribution<std::size_t>(0, count - 2)(random);
+  Target* a = nth(first);
+  Target* b = nth((first + step) % count);
+  return Load(*a, now) <= Load(*b, now) ? a : b;
+}
+
+// Nearest distance first. Spills over to the next one with the probability
+// that a call to this one was shed lately.
+Router::Target* Router::PickNear(Service& service, Instant now,
+                                 Random& random) {
+  std::uniform_real_distribution<double> uniform(0, 1);
+  Target* nearest = nullptr;
+  for (int distance = 0; distance < kDistances; ++distance) {
+    Target* picked = PickAt(service, usable_, distance, now, random);
+    if (picked == nullptr) continue;
+    if (nearest == nullptr) nearest = picked;
+    const double shed = service.shed_ratio[static_cast<std::size_t>(distance)];
+    if (shed <= 0 || uniform(random) >= shed) return picked;
+  }
+  return nearest;
+}
+
+std::optional<Router::Pick> Router::Choose(ServiceId service_id,
+                                           const Membership& membership,
+                                           const std::vector<TargetId>& tried,
+                                           Instant now, Random& random) {
+  const auto found = services_.find(service_id);
+  if (found == services_.end()) {
+    ++stats_.no_target;
+    return std::nullopt;
+  }
+  Service& service = found->second;
+  Target* target = PickProbe(service, membership, tried, now);
+  if (target != nullptr) {
+    ++stats_.probes;
+  } else {
+    CollectUsable(service, membership, tried, now);
+    if (usable_.empty()) CollectUsable(service, membership, {}, now);
+    target = PickNear(service, now, random);
+  }
+  if (target == nullptr) {
+    ++stats_.no_target;
+    return std::nullopt;
+  }
+  ++stats_.picks;
+  if (target->distance > 0) ++stats_.remote_picks;
+  return Pick{target->entry.id, target->entry.host};
+}
+
+void Router::OnStart(TargetId target) {
+  Target* found = Find(target);
+  if (found == nullptr) return;
+  ++found->outstanding;
+  if (found->ejected) ++found->probes_out;
+}
+
+void Router::OnEnd(TargetId target, Observation observation,
+                   Duration /*latency*/, Instant now) {
+  const auto place = places_.find(target);
+  if (place == places_.end()) return;
+  Service& service = services_[place->second.service];
+  Target& state = service.targets[place->second.index];
+  state.outstanding = std::max(0, state.outstanding - 1);
+  const bool failed = observation == Observation::kFailed ||
+                      observation == Observation::kRefused;
+  if (!failed) {
+    double& shed = service.shed_ratio[static_cast<std::size_t>(state.distance)];
+    shed += kShedSmoothing *
+            ((observation == Observation::kShed ? 1.0 : 0.0) - shed);
+  }
+  if (state.ejected) {
+    EndProbe(state, !failed, now);
+  } else {
+    Judge(service, state, !failed, now);
+  }
+}
+
+void Router::Judge(Service& service, Target& target, bool ok, Instant now) {
+  target.failure_ratio +=
+      kRatioSmoothing * ((ok ? 0 : 1) - target.failure_ratio);
+  target.consecutive_failures = ok ? 0 : target.consecutive_failures + 1;
+  if (ok && target.failure_ratio < kRatioSmoothing) target.ejection_count = 0;
+  if (target.consecutive_failures >= kFailuresToEject ||
+      target.failure_ratio > kRatioToEject) {
+    Eject(service, target, now);
+  }
+}
+
+void Router::Eject(Service& service, Target& target, Instant now) {
+  const auto ejected =
+      std::count_if(service.targets.begin(), service.targets.end(),
+                    [](const Target& other) { return other.ejected; });
+  const double most =
+      init_.max_ejected * static_cast<double>(service.targets.size());
+  if (static_cast<double>(ejected + 1) > most) return;
+  target.ejected = true;
+  target.probes_out = 0;
+  target.ejected_until =
+      now +
+      kFirstEjection * (1 << std::min(target.ejection_count, kMostDoublings));
+  ++target.ejection_count;
+  ++stats_.ejections;
+}
+
+// Calls that were outstanding at the ejection also end here.
+void Router::EndProbe(Target& target, bool ok, Instant now) {
+  if (now < target.ejected_until || target.probes_out == 0) return;
+  --target.probes_out;
+  if (ok) {
+    target.ejected = false;
+    target.consecutive_failures = 0;
+    target.failure_ratio = 0;
+    target.ramp_start = now;
+    return;
+  }
+  target.ejected_until =
+      now +
+      kFirstEjection * (1 << std::min(target.ejection_count, kMostDoublings));
+  ++target.ejection_count;
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/shedding.cpp
@@ -0,0 +1,90 @@
+#include "lentilcross/shedding.h"
+
+#include <algorithm>
+#include <random>
+
+namespace lentilcross {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Levels of the targets of one service differ; a reply moves the known level by
+// this share, or further when the last reply is longer ago.
+constexpr double kSmoothing = 0.1;
+constexpr Seconds kSmoothingTime{0.1};
+constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
+
+}  // namespace
+
+std::uint32_t RankOf(Importance importance, const RequestId& request) {
+  const std::uint64_t hash = CombineHash(request.high, request.low);
+  return (static_cast<std::uint32_t>(importance) << kRankHashBits) |
+         static_cast<std::uint32_t>(hash >> (64 - kRankHashBits));
+}
+
+// A level that is not confirmed holds for its lifetime, then falls to nothing
+// within another one, so that shedding ends without a sudden burst.
+double EntryGate::Current(const Level& level, Instant now) const {
+  const Duration age = now - level.heard;
+  if (age <= init_.level_lifetime) return level.level;
+  const double over =
+      Seconds(age).count() / Seconds(init_.level_lifetime).count() - 1;
+  return level.level * std::max(0.0, 1 - over);
+}
+
+std::uint32_t EntryGate::level(RouteId route, OrganisationId organisation,
+                               Instant now) const {
+  const auto found = levels_.find({route, organisation});
+  if (found == levels_.end()) return 0;
+  double highest = 0;
+  for (const Level& level : found->second) {
+    highest = std::max(highest, Current(level, now));
+  }
+  return static_cast<std::uint32_t>(highest);
+}
+
+EntryGate::Verdict EntryGate::Admit(RouteId route, OrganisationId organisation,
+                                    Importance importance,
+                                    const RequestId& request, Instant now,
+                                    Random& random) {
+  const std::uint32_t refuse_below = level(route, organisation, now);
+  if (RankOf(importance, request) >= refuse_below) {
+    ++stats_.admitted;
+    return {};
+  }
+  // A probe of lower importance could run while a request of the level's
+  // importance is refused.
+  const bool marginal =
+      static_cast<std::uint32_t>(importance) == refuse_below >> kRankHashBits;
+  std::uniform_real_distribution<double> uniform(0, 1);
+  if (marginal && uniform(random) < init_.probe_fraction) {
+    ++stats_.admitted;
+    ++stats_.probes;
+    return {};
+  }
+  ++stats_.refused;
+  const auto jitter = Seconds(kRetryAfter) * uniform(random);
+  return {false, kRetryAfter + std::chrono::duration_cast<Duration>(jitter)};
+}
+
+void EntryGate::OnReply(RouteId route, OrganisationId organisation,
+                        const std::vector<ServiceLevel>& levels, Instant now) {
+  if (levels.empty()) return;
+  std::vector<Level>& known = levels_[{route, organisation}];
+  for (const ServiceLevel& stated : levels) {
+    auto level = std::find_if(
+        known.begin(), known.end(),
+        [&](const Level& entry) { return entry.service == stated.service; });
+    if (level == known.end()) {
+      known.push_back({stated.service, static_cast<double>(stated.level), now});
+      continue;
+    }
+    const double share = std::clamp(
+        Seconds(now - level->heard) / kSmoothingTime, kSmoothing, 1.0);
+    const double current = Current(*level, now);
+    level->level = current + share * (stated.level - current);
+    level->heard = now;
+  }
+}
+
+}  // namespace lentilcross
