--- /dev/null
+++ b/tools/standins/standin_relay.cpp
@@ -0,0 +1,224 @@
+// TCP relay that can turn connections silent, cut them or delay them, per
+// direction. Control: POST /behaviour {"scope": "open"|"new"|"all",
+// "forward": {"mode": "pass"|"silent"|"cut", "delay_ms": N}, "backward":
+// {...}}. "forward" is from the side that connects to the side that listens.
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <iostream>
+#include <list>
+
+#include "standin.h"
+#include "tcp_endpoint.h"
+
+namespace lentilcross::standin {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+enum class Mode { kPass, kSilent, kCut };
+
+struct Behaviour {
+  Mode mode = Mode::kPass;
+  std::chrono::milliseconds delay{0};
+
+  void Change(const nlohmann::json& change) {
+    const std::string name = change.value("mode", "");
+    if (name == "pass") mode = Mode::kPass;
+    if (name == "silent") mode = Mode::kSilent;
+    if (name == "cut") mode = Mode::kCut;
+    delay = std::chrono::milliseconds(
+        change.value("delay_ms", static_cast<int>(delay.count())));
+  }
+};
+
+struct Directions {
+  Behaviour forward;
+  Behaviour backward;
+
+  void Change(const nlohmann::json& change) {
+    if (change.contains("forward")) forward.Change(change["forward"]);
+    if (change.contains("backward")) backward.Change(change["backward"]);
+  }
+};
+
+struct Counters {
+  std::uint64_t connections = 0;
+  std::uint64_t open = 0;
+  std::uint64_t forward_bytes = 0;
+  std::uint64_t backward_bytes = 0;
+  std::uint64_t swallowed_bytes = 0;
+};
+
+class Pair : public std::enable_shared_from_this<Pair> {
+ public:
+  Pair(Tcp::socket in, Directions directions,
+       std::shared_ptr<Counters> counters)
+      : directions_(directions),
+        counters_(std::move(counters)),
+        in_(std::move(in)),
+        out_(in_.get_executor()),
+        forward_timer_(in_.get_executor()),
+        backward_timer_(in_.get_executor()) {
+    ++counters_->connections;
+    ++counters_->open;
+  }
+  ~Pair() { --counters_->open; }
+  Pair(const Pair&) = delete;
+  Pair& operator=(const Pair&) = delete;
+
+  void Start(const Tcp::endpoint& to) {
+    out_.async_connect(to, [self = shared_from_this()](auto code) {
+      if (code) return self->Close();
+      boost::system::error_code ignored;
+      self->in_.set_option(Tcp::no_delay(true), ignored);
+      self->out_.set_option(Tcp::no_delay(true), ignored);
+      self->Copy(true);
+      self->Copy(false);
+    });
+  }
+
+  void Change(const nlohmann::json& change) {
+    directions_.Change(change);
+    if (directions_.forward.mode == Mode::kCut ||
+        directions_.backward.mode == Mode::kCut) {
+      Close();
+    }
+  }
+
+ private:
+  void Copy(bool forward) {
+    auto& from = forward ? in_ : out_;
+    auto& buffer = forward ? forward_buffer_ : backward_buffer_;
+    from.async_read_some(
+        asio::buffer(buffer),
+        [self = shared_from_this(), forward](auto code, std::size_t size) {
+          if (code) return self->Close();
+          self->Delay(forward, size);
+        });
+  }
+
+  void Delay(bool forward, std::size_t size) {
+    const Behaviour& behaviour =
+        forward ? directions_.forward : directions_.backward;
+    if (behaviour.mode == Mode::kSilent) {
+      counters_->swallowed_bytes += size;
+      return Copy(forward);
+    }
+    if (behaviour.delay.count() == 0) return Write(forward, size);
+    auto& timer = forward ? forward_timer_ : backward_timer_;
+    timer.expires_after(behaviour.delay);
+    timer.async_wait([self = shared_from_this(), forward, size](auto code) {
+      if (!code) self->Write(forward, size);
+    });
+  }
+
+  void Write(bool forward, std::size_t size) {
+    auto& to = forward ? out_ : in_;
+    auto& buffer = forward ? forward_buffer_ : backward_buffer_;
+    (forward ? counters_->forward_bytes : counters_->backward_bytes) += size;
+    asio::async_write(
+        to, asio::buffer(buffer.data(), size),
+        [self = shared_from_this(), forward](auto code, std::size_t) {
+          if (code) return self->Close();
+          self->Copy(forward);
+        });
+  }
+
+  void Close() {
+    boost::system::error_code ignored;
+    in_.close(ignored);
+    out_.close(ignored);
+    forward_timer_.cancel();
+    backward_timer_.cancel();
+  }
+
+  Directions directions_;
+  std::shared_ptr<Counters> counters_;
+  Tcp::socket in_;
+  Tcp::socket out_;
+  asio::steady_timer forward_timer_;
+  asio::steady_timer backward_timer_;
+  std::array<char, 16384> forward_buffer_{};
+  std::array<char, 16384> backward_buffer_{};
+};
+
+class Relay {
+ public:
+  Relay(asio::io_context& context, const Tcp::endpoint& listen,
+        Tcp::endpoint to)
+      : acceptor_(context, listen), to_(std::move(to)) {
+    Accept();
+  }
+
+  void Change(const nlohmann::json& change) {
+    const std::string scope = change.value("scope", "all");
+    if (scope != "open") for_new_.Change(change);
+    if (scope == "new") return;
+    for (const auto& weak : pairs_) {
+      if (const auto pair = weak.lock()) pair->Change(change);
+    }
+  }
+
+  nlohmann::json ReadCounters() const {
+    return {{"connections", counters_->connections},
+            {"open", counters_->open},
+            {"forward_bytes", counters_->forward_bytes},
+            {"backward_bytes", counters_->backward_bytes},
+            {"swallowed_bytes", counters_->swallowed_bytes}};
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](auto code, Tcp::socket socket) {
+      if (!code) Add(std::move(socket));
+      Accept();
+    });
+  }
+
+  void Add(Tcp::socket socket) {
+    if (for_new_.forward.mode == Mode::kCut ||
+        for_new_.backward.mode == Mode::kCut) {
+      return;
+    }
+    pairs_.remove_if([](const auto& weak) { return weak.expired(); });
+    const auto pair =
+        std::make_shared<Pair>(std::move(socket), for_new_, counters_);
+    pairs_.push_back(pair);
+    pair->Start(to_);
+  }
+
+  std::shared_ptr<Counters> counters_ = std::make_shared<Counters>();
+  Directions for_new_;
+  std::list<std::weak_ptr<Pair>> pairs_;
+  Tcp::acceptor acceptor_;
+  Tcp::endpoint to_;
+};
+
+}  // namespace
+}  // namespace lentilcross::standin
+
+int main(int argc, char** argv) {
+  using namespace lentilcross::standin;  // NOLINT(google-build-using-namespace)
+  const Options options(
+      argc, argv,
+      "standin_relay --listen IP:PORT --to IP:PORT --control IP:PORT");
+  const auto listen = lentilcross::ParseTcpEndpoint(options.required("listen"));
+  const auto to = lentilcross::ParseTcpEndpoint(options.required("to"));
+  if (!listen || !to) {
+    std::cerr << "--listen and --to need ip:port\n";
+    return 2;
+  }
+  boost::asio::io_context context;
+  Relay relay(context, *listen, *to);
+  const auto control =
+      ListenControl(context, options.required("control"),
+                    {[&relay] { return relay.ReadCounters(); },
+                     [&relay](const auto& change) { relay.Change(change); },
+                     {}});
+  RunUntilSignal(context);
+}
