--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -15,13 +15,13 @@
 }
 
 std::string_view HttpRequest::path() const {
-  return std::string_view(target).substr(0, target.find('?'));
+  return std::string_view{target}.substr(0, target.find('?'));
 }
 
 std::string_view HttpRequest::query(std::string_view name) const {
   const std::size_t mark = target.find('?');
   if (mark == std::string::npos) return {};
-  std::string_view rest = std::string_view(target).substr(mark + 1);
+  std::string_view rest = std::string_view{target}.substr(mark + 1);
   while (!rest.empty()) {
     const std::size_t end = std::min(rest.find('&'), rest.size());
     const std::string_view pair = rest.substr(0, end);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -15,6 +15,8 @@
 namespace http = beast::http;
 using Tcp = asio::ip::tcp;
 
+constexpr int kBacklog = asio::socket_base::max_listen_connections;
+
 struct ServerState {
   HttpServer::Init init;
   std::size_t open = 0;
@@ -162,8 +164,7 @@
     acceptor_.open(endpoint->protocol(), code);
     if (!code) acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
     if (!code) acceptor_.bind(*endpoint, code);
-    if (!code)
-      acceptor_.listen(asio::socket_base::max_listen_connections, code);
+    if (!code) acceptor_.listen(kBacklog, code);
     if (code) *error = state_->init.address + ": " + code.message();
     return !code;
   }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -34,7 +34,7 @@
  public:
   struct Init {
     std::string address;  ///< "ip:port"; port 0 picks a free one.
-    std::size_t max_body = 1024 * 1024;
+    std::size_t max_body = std::size_t{1024} * 1024;
     std::size_t max_connections = 1024;
     std::chrono::milliseconds idle_timeout{30'000};
     std::function<void(std::shared_ptr<HttpExchange>)> handler;
