Add RateBook with quotas, loans and tokens

Quotas follow the configuration with delayed gains and end without contact; loans are levels with a term that a grant replaces; tokens move only with the burst that covers them. The choice of lenders and amounts is a first version and refuses too much within rate at high use.

--- /dev/null
+++ b/src/rate_account.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "lentilcross/peer_message.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+/// Upper limit of `RateBook::Init::loan_term`.
+inline constexpr Duration kLongestLoanTerm = std::chrono::seconds(10);
+
+Quota operator+(Quota a, Quota b);
+Quota operator-(Quota a, Quota b);
+Quota Min(Quota a, Quota b);
+Quota Max(Quota a, Quota b);
+
+/// A level of quota until a time on this host's clock.
+struct QuotaSlot {
+  Quota quota;
+  Instant until{};
+  std::uint32_t number = 0;  ///< Request that the grant answers.
+
+  Quota At(Instant time) const { return until > time ? quota : Quota{}; }
+};
+
+/// What one borrower process may hold of this host's quota. `granted` is not
+/// confirmed yet: the borrower holds either of the two.
+struct Lent {
+  HostId borrower;
+  Incarnation incarnation;
+  bool onward = false;  ///< Borrowed quota may be lent on to it.
+  std::uint32_t last_number = 0;
+  QuotaSlot held;
+  QuotaSlot granted;
+  // Open wishes of the last request.
+  Quota want;
+  double unmet = 0;
+  Instant unmet_until{};
+  std::uint16_t next_part = 0;
+
+  Quota At(Instant time) const { return Max(held.At(time), granted.At(time)); }
+  double UnmetAt(Instant time) const { return unmet_until > time ? unmet : 0; }
+};
+
+/// What this host holds of a lender's quota.
+struct Borrowed {
+  HostId lender;
+  QuotaSlot level;
+  std::uint16_t part = 0;
+};
+
+/// Quota and tokens of one organisation at one host. Keeps the rules that bound
+/// admissions over all hosts: every quota is counted by exactly one holder, and
+/// tokens move only together with the burst that covers them.
+class RateAccount {
+ public:
+  /// Share that the configuration assigns from now on. The account uses the
+  /// lowest share in force during the last `handover`.
+  void SetTarget(Quota target, Instant now, Duration handover);
+  Quota target() const {
+    return steps_.empty() ? Quota{} : steps_.back().quota;
+  }
+
+  /// Applies what ended up to `now` in order of time, and generates tokens. The
+  /// own share is void from `own_until`. Returns the number of expired loans.
+  int Advance(Instant now, Instant own_until);
+
+  Quota own() const { return own_; }
+  Quota held() const { return held_; }
+  Quota borrowed_total() const { return borrowed_total_; }
+  Quota lent_total() const { return lent_total_; }
+  double tokens() const { return tokens_ > 0 ? tokens_ : 0; }
+  bool TakeToken();
+
+  // Borrower.
+  const std::vector<Borrowed>& borrowed() const { return borrowed_; }
+  Quota LevelFrom(HostId lender) const;
+  /// Lowers what is held of a lender to `keep`, gives up to `returned` tokens
+  /// back, and describes both for the lender.
+  LoanAsk Declare(HostId lender, Quota keep, double returned);
+  /// False if a newer grant was accepted before.
+  bool Accept(HostId lender, std::uint32_t number, const Loan& loan,
+              Instant until);
+
+  // Lender.
+  std::vector<Lent>& lent() { return lent_; }
+  const std::vector<Lent>& lent() const { return lent_; }
+  /// Takes over what the borrower says it still holds. Null if the message is
+  /// older than one seen, or too many borrowers are known.
+  Lent* OnDeclared(HostId borrower, Incarnation incarnation,
+                   std::uint32_t number, const LoanAsk& ask);
+  /// Latest time, at most `until`, up to which `level` can be lent without
+  /// promising more than this host is sure to hold.
+  Instant LatestUntil(const Lent& lent, Quota level, Instant until) const;
+  /// Lends `level` in place of what the borrower holds.
+  void Grant(Lent& lent, std::uint32_t number, Quota level, double tokens,
+             Instant until);
+  /// Drops records of loans that ended a while ago.
+  void ForgetEnded();
+
+  std::size_t StateBytes() const;
+
+ private:
+  struct Step {
+    Instant at{};
+    Quota quota;
+  };
+
+  void Refill(Instant time);
+  int ApplyEnded(Instant time);
+  void PruneSteps(Instant time);
+  void Recompute(Instant time);
+  Instant NextEvent() const;
+  void Confirm(Lent& lent, const LoanAsk& ask) const;
+  Quota CapacityAt(Instant time, bool onward) const;
+  Quota CommittedAt(Instant time, const Lent& except) const;
+
+  std::vector<Step> steps_;
+  Duration handover_{};
+  Quota own_;
+  Quota borrowed_total_;
+  Quota lent_total_;
+  Quota held_;
+  double tokens_ = 0;
+  Instant time_{};
+  Instant own_until_{};
+  Instant next_event_{};
+  std::vector<Borrowed> borrowed_;
+  std::vector<Lent> lent_;
+};
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/rate_book_impl.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "lentilcross/rate.h"
+#include "rate_account.h"
+#include "rate_demand.h"
+#include "rate_owners.h"
+
+namespace lentilcross {
+
+/// A host that may lend, as one organisation's books see it.
+struct Lender {
+  HostId host;
+  Quota potential;  ///< Own share by the configuration.
+  Instant asked{};
+  double in_flight = 0;  ///< Tokens asked for and not answered.
+  double last_need = 0;
+  int failures = 0;  ///< Answers in a row without the tokens asked for.
+};
+
+/// Everything known about one organisation.
+struct RateOrg {
+  OrganisationId id;
+  Quota total;
+  RateAccount account;
+  RateDemand local;  ///< Requests that arrived here.
+  RateDemand drawn;  ///< Tokens lent to hosts that own nothing.
+  int waiting = 0;
+  Instant last_wait{};
+  bool is_owner = false;
+  bool dirty = false;
+  std::vector<HostId> owners_here;  ///< Owners in this failure domain.
+  std::vector<Lender> lenders;
+  bool lenders_known = false;
+  std::size_t next_lender = 0;
+};
+
+struct RateBook::Impl {
+  explicit Impl(const Init& init_values);
+
+  // Configuration and time.
+  void Apply(const Configuration& configuration, Instant now);
+  void ApplyTo(RateOrg& org, const OrganisationEntry* entry, Instant now);
+  RateOrg* Find(OrganisationId id);
+  void Advance(RateOrg& org, Instant now);
+  void RecordContact(Instant began, Instant now);
+  void MarkDirty(RateOrg& org);
+
+  // Requests of callers.
+  Charge TryCharge(OrganisationId id, Duration waited, Instant now);
+  Charge OnNoToken(RateOrg& org, Duration waited, Instant now);
+
+  // Borrower (rate_borrower.cpp).
+  void FindLenders(RateOrg& org);
+  void Plan(RateOrg& org, Instant now);
+  void PlanRates(RateOrg& org, double rate, std::vector<double>& rates) const;
+  void PlanTokens(RateOrg& org, double need, bool urgent, Instant now,
+                  std::vector<double>& needs) const;
+  void Ask(RateOrg& org, Lender& lender, Quota keep, double returned,
+           Quota more, double need, Instant now);
+  void GiveBackAll(RateOrg& org, Instant now);
+  bool OnGrant(HostId from, const LoanGrant& grant, Instant now);
+  bool AcceptLoan(HostId from, std::uint32_t number, Instant sent,
+                  const Loan& loan, Instant now);
+
+  // Lender (rate_lender.cpp).
+  void OnRequest(HostId from, const LoanRequest& request, Instant now);
+  void OnReturn(HostId from, const LoanReturn& message, Instant now);
+  Lent* TakeDeclaration(RateOrg& org, HostId from, Incarnation borrower,
+                        std::uint32_t number, const LoanAsk& ask, Instant now);
+  bool IsOnward(const RateOrg& org, HostId borrower) const;
+  double GrantableRate(const RateOrg& org, const Lent& lent, Instant now) const;
+  double GrantableTokens(const RateOrg& org, const Lent& lent,
+                         Instant now) const;
+  void Serve(RateOrg& org, Lent& lent, bool first, Instant now);
+  void ServeUnmet(RateOrg& org, Instant now);
+
+  std::vector<Outgoing> Tick(Instant now);
+  void Sweep(Instant now);
+  std::vector<Outgoing> Drain(Instant now);
+  std::vector<Outgoing> ReturnAll(Instant now);
+
+  struct Sent {
+    std::uint32_t number = 0;
+    Instant at{};
+  };
+  struct PendingGrant {
+    HostId to;
+    LoanGrant message;
+  };
+
+  Init init;
+  Stats stats;
+  RateOwners owners;
+  std::shared_ptr<const Configuration> configuration;
+  std::unordered_map<OrganisationId, RateOrg> orgs;
+  std::unordered_map<HostId, std::deque<Sent>> sent;
+  std::unordered_map<HostId, std::vector<LoanAsk>> asks;
+  std::unordered_map<HostId, std::vector<LoanAsk>> returns;
+  std::vector<PendingGrant> grants;
+  std::vector<OrganisationId> dirty;
+  std::uint32_t last_number = 0;
+  Instant own_until{};
+  Instant last_sweep{};
+};
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/rate_lender.cpp
@@ -0,0 +1,197 @@
+#include <algorithm>
+#include <cmath>
+
+#include "rate_book_impl.h"
+
+namespace lentilcross {
+namespace {
+
+// The lender's clock may run 1% faster than the borrower's.
+constexpr double kClockDrift = 1.01;
+constexpr Duration kTakeBackMargin = std::chrono::milliseconds(50);
+// A shorter loan would end before the borrower can renew it.
+constexpr Duration kShortestTerm = std::chrono::milliseconds(200);
+// Wishes are served late for as long as a request may wait for them.
+constexpr Duration kUnmetLifetime = std::chrono::milliseconds(60);
+
+Duration Scaled(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+bool IsAmount(double value) { return std::isfinite(value) && value >= 0; }
+
+bool IsValid(const LoanAsk& ask) {
+  return IsAmount(ask.want.rate) && IsAmount(ask.want.burst) &&
+         IsAmount(ask.held.rate) && IsAmount(ask.held.burst) &&
+         IsAmount(ask.need) && IsAmount(ask.returned);
+}
+
+// Level f such that the sum of min(wish, f) is `capacity`.
+double MaxMinLevel(std::vector<double> wishes, double capacity) {
+  std::sort(wishes.begin(), wishes.end());
+  double left = capacity;
+  for (std::size_t i = 0; i < wishes.size(); ++i) {
+    const double fair = left / static_cast<double>(wishes.size() - i);
+    if (wishes[i] >= fair) return fair;
+    left -= wishes[i];
+  }
+  return capacity;
+}
+
+}  // namespace
+
+bool RateBook::Impl::IsOnward(const RateOrg& org, HostId borrower) const {
+  if (owners.DomainOf(borrower) != init.failure_domain) return false;
+  const auto& here = org.owners_here;
+  return std::find(here.begin(), here.end(), borrower) == here.end();
+}
+
+Lent* RateBook::Impl::TakeDeclaration(RateOrg& org, HostId from,
+                                      Incarnation borrower,
+                                      std::uint32_t number, const LoanAsk& ask,
+                                      Instant now) {
+  Advance(org, now);
+  Lent* lent = org.account.OnDeclared(from, borrower, number, ask);
+  if (lent == nullptr) {
+    ++stats.messages_ignored;
+    return nullptr;
+  }
+  lent->onward = IsOnward(org, from);
+  lent->want = {};
+  lent->unmet = 0;
+  lent->next_part = 0;
+  MarkDirty(org);
+  return lent;
+}
+
+void RateBook::Impl::OnRequest(HostId from, const LoanRequest& request,
+                               Instant now) {
+  if (!request.borrower.valid() || from == init.self) {
+    ++stats.messages_ignored;
+    return;
+  }
+  grants.push_back({from, {request.borrower, request.number, {}}});
+  for (const LoanAsk& ask : request.asks) {
+    RateOrg* org = Find(ask.organisation);
+    if (org == nullptr || !IsValid(ask)) {
+      ++stats.messages_ignored;
+      continue;
+    }
+    Lent* lent =
+        TakeDeclaration(*org, from, request.borrower, request.number, ask, now);
+    if (lent == nullptr) continue;
+    lent->want = Min(ask.want, org->total);
+    lent->unmet = std::min(ask.need, org->total.burst);
+    lent->unmet_until = now + kUnmetLifetime;
+    Serve(*org, *lent, true, now);
+  }
+  if (grants.back().message.loans.empty()) grants.pop_back();
+}
+
+void RateBook::Impl::OnReturn(HostId from, const LoanReturn& message,
+                              Instant now) {
+  for (const LoanAsk& ask : message.asks) {
+    RateOrg* org = Find(ask.organisation);
+    if (org == nullptr || !IsValid(ask)) {
+      ++stats.messages_ignored;
+      continue;
+    }
+    TakeDeclaration(*org, from, message.borrower, message.number, ask, now);
+  }
+}
+
+double RateBook::Impl::GrantableRate(const RateOrg& org, const Lent& lent,
+                                     Instant now) const {
+  const RateAccount& account = org.account;
+  double capacity = account.own().rate;
+  if (lent.onward) capacity += account.borrowed_total().rate;
+  const double own_use = org.local.rate(now);
+  std::vector<double> wishes = {own_use};
+  for (const Lent& other : account.lent()) {
+    wishes.push_back(std::max(other.want.rate, other.At(now).rate));
+  }
+  const double fair = MaxMinLevel(std::move(wishes), capacity);
+  const double others = account.lent_total().rate - lent.At(now).rate;
+  const double free = capacity - others - std::min(own_use, fair);
+  return std::clamp(free, 0.0, std::max(fair, 0.0));
+}
+
+double RateBook::Impl::GrantableTokens(const RateOrg& org, const Lent& lent,
+                                       Instant now) const {
+  const double tokens = org.account.tokens();
+  double reserve = org.waiting;
+  int others = org.waiting > 0 ? 1 : 0;
+  double here = org.local.rate(now);
+  for (const Lent& other : org.account.lent()) {
+    if (&other == &lent || other.UnmetAt(now) <= 0) continue;
+    ++others;
+    if (other.onward && !lent.onward) reserve += other.UnmetAt(now);
+  }
+  if (!lent.onward && here + org.drawn.rate(now) > 0.5) {
+    reserve += org.account.held().burst / 4;
+  }
+  const double fair = std::max(1.0, tokens / (1 + others));
+  return std::clamp(tokens - reserve, 0.0, fair);
+}
+
+void RateBook::Impl::Serve(RateOrg& org, Lent& lent, bool first, Instant now) {
+  RateAccount& account = org.account;
+  const Quota before = lent.At(now);
+  Quota room = account.held();
+  if (!lent.onward) room = Min(room, account.own() - account.lent_total());
+  Quota level;
+  level.rate = std::min(lent.want.rate, GrantableRate(org, lent, now));
+  double give = std::min(
+      {lent.UnmetAt(now), GrantableTokens(org, lent, now), room.burst});
+  if (!first && give < std::min(1.0, lent.unmet) - 1e-9 &&
+      level.rate <= before.rate * 1.1) {
+    return;
+  }
+  lent.unmet -= give;
+  // Burst without tokens: what the borrower's own generation fills.
+  const double wish = std::max(0.0, lent.want.burst - before.burst - give);
+  const double empty = std::max(0.0, room.burst - account.tokens());
+  const double part =
+      account.held().rate > 0
+          ? std::min(1.0, level.rate / (account.held().rate + before.rate))
+          : 0;
+  const double spare = std::max(empty / 2, (room.burst - give) * part);
+  const double extra = std::min({wish, spare, room.burst - give});
+  // Tokens may only go along with burst that was not lent before.
+  const bool grows = give + extra > 0;
+  level.burst = grows ? before.burst + give + extra
+                      : std::min(before.burst, lent.want.burst);
+  // Tokens that no longer fit here go along.
+  const double overflow =
+      account.tokens() - give - (account.held().burst - give - extra);
+  give += std::clamp(overflow, 0.0, extra);
+
+  const Instant wished =
+      now + Scaled(init.loan_term, kClockDrift) + kTakeBackMargin;
+  const Instant until = account.LatestUntil(lent, level, wished);
+  const Duration term = std::min(
+      init.loan_term, Scaled(until - now - kTakeBackMargin, 1 / kClockDrift));
+  Loan loan{org.id, {}, 0, {}, lent.next_part++};
+  if (term >= kShortestTerm) {
+    loan.quota = level;
+    loan.tokens = give;
+    loan.term = term;
+    account.Grant(lent, lent.last_number, level, give, until);
+    ++stats.loans_granted;
+    if (lent.onward) org.drawn.Add(give, now);
+  }
+  if (!first) {
+    grants.push_back({lent.borrower, {lent.incarnation, lent.last_number, {}}});
+  }
+  grants.back().message.loans.push_back(loan);
+}
+
+void RateBook::Impl::ServeUnmet(RateOrg& org, Instant now) {
+  for (Lent& lent : org.account.lent()) {
+    if (lent.UnmetAt(now) > 0 && org.account.tokens() > 0) {
+      Serve(org, lent, false, now);
+    }
+  }
+}
+
+}  // namespace lentilcross
