--- a/src/http_client.h
+++ b/src/http_client.h
@@ -9,7 +9,7 @@
 
 #include "http_message.h"
 
-namespace lentilcross {
+namespace lentilcross::web {
 
 enum class HttpFailure : std::uint8_t {
   kNone,
@@ -47,4 +47,4 @@
 HttpResult HttpCall(const std::string& address, HttpRequest request,
                     std::chrono::milliseconds timeout);
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/beast/core/string.hpp>
 
-namespace lentilcross {
+namespace lentilcross::web {
 
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
   const boost::beast::string_view wanted(name.data(), name.size());
@@ -40,4 +40,4 @@
       status, {{"Content-Type", std::string(content_type)}}, std::move(body)};
 }
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/src/tcp_endpoint.cpp
+++ b/src/tcp_endpoint.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace lentilcross {
+namespace lentilcross::web {
 
 std::optional<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
     std::string_view text) {
@@ -25,4 +25,4 @@
   return boost::asio::ip::tcp::endpoint(address, port);
 }
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/src/tcp_endpoint.h
+++ b/src/tcp_endpoint.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <string_view>
 
-namespace lentilcross {
+namespace lentilcross::web {
 
 /// Parses "ip:port" or "[ip6]:port". Names are not resolved.
 std::optional<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
     std::string_view text);
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/tools/standins/standin.cpp
+++ b/tools/standins/standin.cpp
@@ -75,7 +75,7 @@
 }
 
 HttpResponse JsonResponse(int status, const nlohmann::json& body) {
-  return MakeResponse(status, "application/json", body.dump());
+  return web::MakeResponse(status, "application/json", body.dump());
 }
 
 void RunUntilSignal(boost::asio::io_context& context) {
--- a/tools/standins/standin.h
+++ b/tools/standins/standin.h
@@ -10,6 +10,10 @@
 
 namespace lentilcross::standin {
 
+using web::HttpExchange;
+using web::HttpResponse;
+using web::HttpServer;
+
 /// Values of `--name value` options; exits with status 2 on any other argument
 /// or when a required option is missing.
 class Options {
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -14,6 +14,8 @@
 namespace lentilcross::standin {
 namespace {
 
+using web::HttpRequest;
+using web::MakeResponse;
 using Exchange = std::shared_ptr<HttpExchange>;
 
 std::uint64_t VersionOf(const std::string& document) {
