--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -9,7 +9,7 @@
 
 #include "tcp_endpoint.h"
 
-namespace lentilcross {
+namespace lentilcross::web {
 namespace {
 
 namespace asio = boost::asio;
@@ -231,4 +231,4 @@
   return result;
 }
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-namespace lentilcross {
+namespace lentilcross::web {
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
@@ -41,4 +41,4 @@
 HttpResponse MakeResponse(int status, std::string_view content_type,
                           std::string body);
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,7 +7,7 @@
 
 #include "tcp_endpoint.h"
 
-namespace lentilcross {
+namespace lentilcross::web {
 namespace {
 
 namespace asio = boost::asio;
@@ -208,4 +208,4 @@
   return server;
 }
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -8,7 +8,7 @@
 
 #include "http_message.h"
 
-namespace lentilcross {
+namespace lentilcross::web {
 
 /// One request and the way to answer it. Used on the thread of its
 /// `io_context` only.
@@ -50,4 +50,4 @@
   virtual std::uint64_t refused_connections() const = 0;
 };
 
-}  // namespace lentilcross
+}  // namespace lentilcross::web
--- a/tools/standins/standin_target.cpp
+++ b/tools/standins/standin_target.cpp
@@ -17,6 +17,10 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
+using web::HttpClient;
+using web::HttpRequest;
+using web::HttpResult;
+using web::MakeResponse;
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
 constexpr std::size_t kMaxRecordedIds = 1'000'000;
@@ -243,7 +247,7 @@
         [this, work](const HttpResult& result) {
           if (work->ended) return;
           const int status = result.response.status;
-          if (result.failure == HttpFailure::kNone && status < 300) {
+          if (result.failure == web::HttpFailure::kNone && status < 300) {
             return Onward(work);
           }
           ++counters_.onward_failures;
