--- /dev/null
+++ b/src/call_replies.cpp
@@ -0,0 +1,50 @@
+#include "call_replies.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilcross {
+namespace {
+
+Reply Refused(const Call& call, Reason reason, Outcome outcome,
+              std::string detail) {
+  Reply reply;
+  reply.number = call.number;
+  reply.refusal = MakeRefusal(reason, outcome, std::move(detail));
+  reply.extra_attempts_left = call.extra_attempts;
+  return reply;
+}
+
+}  // namespace
+
+Refusal MakeRefusal(Reason reason, Outcome outcome, std::string detail) {
+  Refusal refusal;
+  refusal.reason = reason;
+  refusal.outcome = outcome;
+  refusal.detail = std::move(detail);
+  return refusal;
+}
+
+Reply NotRun(const Call& call, Reason reason, std::string detail) {
+  return Refused(call, reason, Outcome::kNotRun, std::move(detail));
+}
+
+Reply Unknown(const Call& call, Reason reason, std::string detail) {
+  return Refused(call, reason, Outcome::kUnknown, std::move(detail));
+}
+
+void MergeLevels(std::vector<ServiceLevel>& into,
+                 const std::vector<ServiceLevel>& levels) {
+  for (const ServiceLevel& level : levels) {
+    const auto it = std::find_if(
+        into.begin(), into.end(),
+        [&](const ServiceLevel& own) { return own.service == level.service; });
+    if (it == into.end()) {
+      into.push_back(level);
+    } else {
+      it->level = std::max(it->level, level.level);
+    }
+  }
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/control_loop.cpp
@@ -0,0 +1,291 @@
+#include "control_loop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <utility>
+
+#include "lentilcross/spread.h"
+#include "platform_client.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kStatsInterval = std::chrono::seconds(1);
+/// Messages kept while the ring to the thread `data` is full.
+constexpr std::size_t kMaxHeldBack = 4096;
+
+std::string NameOf(const Configuration* configuration, HostId host) {
+  if (configuration != nullptr) {
+    const auto it = configuration->hosts.find(host);
+    if (it != configuration->hosts.end()) return it->second.name;
+  }
+  return "peer " + std::to_string(host.value());
+}
+
+AuditRecord MakeRecord(const Configuration& configuration, std::string source) {
+  AuditRecord record;
+  record.version = configuration.version;
+  record.preset = configuration.preset.name;
+  record.source = std::move(source);
+  record.taken_over = std::chrono::system_clock::now();
+  const auto name_of = [&](OrganisationId id) -> std::string {
+    const auto it = configuration.organisations.find(id);
+    return it == configuration.organisations.end() ? "" : it->second.name;
+  };
+  for (const auto& [id, key] : configuration.keys) {
+    record.keys.push_back({key.name, name_of(key.organisation), key.withdrawn});
+  }
+  for (const auto& [id, organisation] : configuration.organisations) {
+    record.rates.push_back(
+        {organisation.name, organisation.rate, organisation.burst});
+  }
+  return record;
+}
+
+}  // namespace
+
+struct ControlLoop::Impl {
+  Impl(const DaemonInit& daemon_init, Incarnation incarnation,
+       Spread&& new_spread)
+      : init(daemon_init),
+        work(boost::asio::make_work_guard(io)),
+        timer(io),
+        spread(std::move(new_spread)),
+        membership({HostId::FromName(init.host), incarnation}),
+        random(init.random_seed ^ incarnation.value()),
+        platform(io, {init.platform}, MakePlatformHooks()) {}
+
+  PlatformClient::Hooks MakePlatformHooks() {
+    PlatformClient::Hooks hooks;
+    hooks.on_document = [this](const std::string& text,
+                               const std::string& source, Instant began) {
+      OnDocument(text, source, began);
+    };
+    hooks.on_unchanged = [this](Instant began) {
+      spread.OnPlatformUnchanged(steady_clock::now());
+      OnPlatformContact(began);
+    };
+    hooks.on_failure = [this](const std::string& cause) {
+      spread.OnPlatformFailure(steady_clock::now());
+      Log(LogLevel::kDebug, "platform-failure", {{"cause", cause}});
+      Step();
+    };
+    hooks.on_hosts = [this](const std::vector<PlatformClient::HostState>& all) {
+      for (const auto& [name, leaving] : all) {
+        if (leaving) OnHostLeaving(HostId::FromName(name));
+      }
+    };
+    return hooks;
+  }
+
+  void Log(LogLevel level, const std::string& event, const LogFields& fields) {
+    if (init.on_log) init.on_log(level, event, fields);
+  }
+
+  // ----- Messages to the thread `data`
+
+  void Send(const ToData& message) {
+    // Order is kept: nothing overtakes what is held back.
+    if (held_back.empty() && out->Push(message)) return;
+    if (held_back.size() < kMaxHeldBack) held_back.push_back(message);
+  }
+
+  void SendHeldBack() {
+    while (!held_back.empty() && out->Push(held_back.front())) {
+      held_back.pop_front();
+    }
+  }
+
+  void SendAll(std::vector<Spread::Outgoing> messages) {
+    for (auto& [to, message] : messages) {
+      Send(PeerEnvelope{to, std::move(message)});
+    }
+  }
+
+  // ----- Events
+
+  void OnDocument(const std::string& text, const std::string& source,
+                  Instant began) {
+    auto result = spread.OnPlatformDocument(text, steady_clock::now());
+    if (!result) LogFindings(source);
+    Publish(source);
+    OnPlatformContact(began);
+  }
+
+  void OnPlatformContact(Instant began) {
+    Send(PlatformContact{began});
+    platform.ReadHosts();
+    Step();
+  }
+
+  void OnHostLeaving(HostId host) {
+    membership.OnPlatformLeaving(host, steady_clock::now());
+    Send(HostLeaving{host});
+  }
+
+  void LogFindings(const std::string& source) {
+    for (const Finding& finding : spread.last_findings().list()) {
+      Log(LogLevel::kError, "configuration-refused",
+          {{"source", source},
+           {"place", finding.place},
+           {"finding", finding.text}});
+    }
+  }
+
+  void OnPeerMessage(const PeerEnvelope& envelope) {
+    const Instant now = steady_clock::now();
+    membership.OnHeard(envelope.host, now);
+    if (const auto* digest = std::get_if<Digest>(&envelope.message)) {
+      membership.OnUpdates(digest->members, now);
+    }
+    SendAll(spread.OnMessage(envelope.host, envelope.message, now));
+    Publish(NameOf(spread.current().get(), envelope.host));
+    Step();
+  }
+
+  void OnMember(const MemberEvent& event) {
+    const Instant now = steady_clock::now();
+    switch (event.kind) {
+      case MemberEvent::Kind::kHello:
+        membership.OnHello(event.host, event.incarnation, now);
+        return;
+      case MemberEvent::Kind::kHeard:
+        membership.OnHeard(event.host, now);
+        return;
+      case MemberEvent::Kind::kLinkDead:
+        membership.OnLinkDead(event.host, now);
+        return;
+      case MemberEvent::Kind::kLeave:
+        membership.OnLeave(event.host, event.incarnation, now);
+        return;
+      case MemberEvent::Kind::kSelfLeave:
+        membership.Leave(now);
+        SendAll(spread.Tick(membership, now, random));
+        return;
+    }
+  }
+
+  /// Passes a new version on to the thread `data` and to peers.
+  void Publish(const std::string& source) {
+    const auto current = spread.current();
+    if (!current || current->version == published) return;
+    published = current->version;
+    Send(current);
+    Log(LogLevel::kInfo, "configuration-applied",
+        {{"version", std::to_string(current->version.value())},
+         {"preset", current->preset.name},
+         {"source", source}});
+    if (init.on_audit) init.on_audit(MakeRecord(*current, source));
+    SendAll(spread.Tick(membership, steady_clock::now(), random));
+  }
+
+  // ----- Ticks
+
+  /// Starts what is due at the platform and reports the readiness.
+  void Step() {
+    const Instant now = steady_clock::now();
+    const bool ready = spread.IsReady(now);
+    const bool stale = spread.IsStale(now);
+    if (ready != readiness.ready || stale != readiness.stale) {
+      readiness = {ready, stale};
+      Send(readiness);
+    }
+    if (platform.reading()) return;
+    const auto current = spread.current();
+    const Version have = current ? current->version : Version();
+    switch (spread.NextPlatformAction(membership, now, random)) {
+      case Spread::PlatformAction::kNone:
+        return;
+      case Spread::PlatformAction::kWatch:
+        platform.Read(have, Spread::Init{}.watch_wait);
+        return;
+      case Spread::PlatformAction::kRead:
+        platform.Read(have, Duration::zero());
+        return;
+    }
+  }
+
+  void OnTick() {
+    const Instant now = steady_clock::now();
+    SendHeldBack();
+    SendAll(spread.Tick(membership, now, random));
+    Step();
+    if (now >= next_stats) {
+      next_stats = now + kStatsInterval;
+      SendStats();
+    }
+  }
+
+  void SendStats() {
+    auto stats = std::make_shared<ControlStats>();
+    stats->spread = spread.stats();
+    stats->platform = platform.stats();
+    stats->findings = spread.last_findings();
+    stats->to_data_full = out->full();
+    Send(std::shared_ptr<const ControlStats>(std::move(stats)));
+  }
+
+  void StartTimer() {
+    timer.expires_after(kTick);
+    timer.async_wait([this](boost::system::error_code error) {
+      if (error) return;
+      OnTick();
+      StartTimer();
+    });
+  }
+
+  const DaemonInit init;
+  boost::asio::io_context io{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  boost::asio::steady_timer timer;
+  Spread spread;
+  Membership membership;
+  Random random;
+  PlatformClient platform;
+  Ring<ToData>* out = nullptr;
+  std::deque<ToData> held_back;
+  Version published;
+  Readiness readiness;
+  Instant next_stats{};
+};
+
+Result<std::unique_ptr<ControlLoop>> ControlLoop::Create(
+    const DaemonInit& init, Incarnation incarnation) {
+  Spread::Init spread_init;
+  spread_init.self = HostId::FromName(init.host);
+  spread_init.failure_domain = FailureDomainId::FromName(init.failure_domain);
+  spread_init.startup_wait = init.startup_wait;
+  spread_init.key_staleness_limit = init.key_staleness_limit;
+  BOOST_LEAF_AUTO(spread, Spread::Create(spread_init));
+  return std::unique_ptr<ControlLoop>(new ControlLoop(
+      std::make_unique<Impl>(init, incarnation, std::move(spread))));
+}
+
+ControlLoop::ControlLoop(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+ControlLoop::~ControlLoop() = default;
+
+void ControlLoop::Run(Ring<ToData>& out) {
+  impl_->out = &out;
+  impl_->OnTick();
+  impl_->StartTimer();
+  impl_->io.run();
+}
+
+void ControlLoop::Stop() { impl_->io.stop(); }
+
+boost::asio::io_context& ControlLoop::io() { return impl_->io; }
+
+void ControlLoop::OnMessage(ToControl&& message) {
+  if (const auto* envelope = std::get_if<PeerEnvelope>(&message)) {
+    impl_->OnPeerMessage(*envelope);
+  } else {
+    impl_->OnMember(std::get<MemberEvent>(message));
+  }
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/data_state.cpp
@@ -0,0 +1,57 @@
+#include "data_state.h"
+
+#include <openssl/rand.h>
+
+namespace lentilcross {
+namespace {
+
+Sha256Digest RandomSecret() {
+  Sha256Digest secret{};
+  RAND_bytes(secret.data(), static_cast<int>(secret.size()));
+  return secret;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<DataState>> DataState::Create(const DaemonInit& init,
+                                                     Incarnation incarnation) {
+  const HostId self = HostId::FromName(init.host);
+  const auto domain = FailureDomainId::FromName(init.failure_domain);
+
+  RateBook::Init rate_init;
+  rate_init.self = self;
+  rate_init.failure_domain = domain;
+  rate_init.incarnation = incarnation;
+  rate_init.loan_term = init.loan_term;
+  rate_init.handover = init.rate_handover;
+  BOOST_LEAF_AUTO(rate, RateBook::Create(rate_init));
+
+  TicketBook::Init ticket_init;
+  ticket_init.self = self;
+  ticket_init.incarnation = incarnation;
+  ticket_init.secret = RandomSecret();
+  BOOST_LEAF_AUTO(tickets, TicketBook::Create(ticket_init));
+
+  ContextTokens::Init token_init;
+  token_init.secret = RandomSecret();
+  BOOST_LEAF_AUTO(tokens, ContextTokens::Create(token_init));
+
+  Router::Init router_init;
+  router_init.self = self;
+  router_init.failure_domain = domain;
+  BOOST_LEAF_AUTO(router, Router::Create(router_init));
+
+  Membership::Init member_init;
+  member_init.self = self;
+  member_init.incarnation = incarnation;
+
+  return std::unique_ptr<DataState>(new DataState{
+      self, incarnation, domain, nullptr, false, false, false, KeyRing(),
+      std::move(rate), RetryBudget(RetryBudget::Init{}), std::move(tickets),
+      DispatchFence(DispatchFence::Init{}), std::move(tokens),
+      EntryGate(EntryGate::Init{}), std::move(router), Membership(member_init),
+      Random(init.random_seed != 0 ? init.random_seed : incarnation.value()),
+      PipelineStats(), init.on_log});
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/data_state.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <utility>
+
+#include "daemon_init.h"
+#include "daemon_stats.h"
+#include "lentilcross/admission.h"
+#include "lentilcross/configuration.h"
+#include "lentilcross/context_tokens.h"
+#include "lentilcross/dispatch.h"
+#include "lentilcross/keys.h"
+#include "lentilcross/membership.h"
+#include "lentilcross/rate.h"
+#include "lentilcross/retry.h"
+#include "lentilcross/routing.h"
+#include "lentilcross/shedding.h"
+#include "lentilcross/tickets.h"
+
+namespace lentilcross {
+
+/// What the thread `data` decides with. Owned and used by that thread only.
+struct DataState {
+  /// The error carries `Findings`.
+  static Result<std::unique_ptr<DataState>> Create(const DaemonInit& init,
+                                                   Incarnation incarnation);
+
+  HostId self;
+  Incarnation incarnation;
+  FailureDomainId failure_domain;
+
+  std::shared_ptr<const Configuration> configuration;  ///< Null at start.
+  bool ready = false;
+  bool stale = false;
+  bool draining = false;
+
+  KeyRing keys;
+  RateBook rate;
+  RetryBudget retry;
+  TicketBook tickets;
+  DispatchFence fence;
+  ContextTokens tokens;
+  EntryGate gate;
+  Router router;
+  Membership membership;
+  Random random;
+  PipelineStats stats;
+  LogHook log;
+
+  std::uint64_t last_call = 0;
+  /// Numbers increase; the fence of the receiver relies on that.
+  CallNumber NextCall() { return CallNumber(++last_call); }
+
+  void Log(LogLevel level, const std::string& event, const LogFields& fields) {
+    if (log) log(level, event, fields);
+  }
+};
+
+}  // namespace lentilcross
--- a/src/http_front.cpp
+++ b/src/http_front.cpp
@@ -54,7 +54,7 @@
   auto message = parser.release();
   HttpRequest request;
   request.method = std::string(message.method_string());
-  request.path = std::string(message.target());
+  request.target = std::string(message.target());
   for (const auto& field : message) {
     request.headers.emplace_back(field.name_string(), field.value());
   }
@@ -209,7 +209,7 @@
     message = {};
     session->writing = true;
     message.version(11);
-    message.result(response.status);
+    message.result(static_cast<unsigned>(response.status));
     for (auto& [name, value] : response.headers) message.insert(name, value);
     message.body() = std::move(response.body);
     const bool keep_alive = session->keep_alive && !draining;
--- a/src/http_types.cpp
+++ b/src/http_types.cpp
@@ -67,13 +67,6 @@
   });
 }
 
-const std::string* FindHeader(const Headers& headers, std::string_view name) {
-  for (const auto& [key, value] : headers) {
-    if (EqualHeaderName(key, name)) return &value;
-  }
-  return nullptr;
-}
-
 std::size_t CountHeaders(const Headers& headers, std::string_view name) {
   return static_cast<std::size_t>(
       std::count_if(headers.begin(), headers.end(), [name](const auto& entry) {
@@ -107,7 +100,7 @@
 }
 
 bool IsWritable(const HttpRequest& request) {
-  return IsToken(request.method) && IsPath(request.path) &&
+  return IsToken(request.method) && IsPath(request.target) &&
          IsWritable(request.headers);
 }
 
@@ -122,7 +115,7 @@
       {"outcome", std::string(ToString(refusal.outcome))},
       {"detail", refusal.detail}};
   HttpResponse response;
-  response.status = static_cast<std::uint16_t>(status);
+  response.status = status;
   response.headers.emplace_back(header::kContentType,
                                 "application/problem+json");
   if (refusal.retry_after > Duration::zero()) {
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -4,10 +4,17 @@
 #include <string>
 #include <string_view>
 
+#include "http_message.h"
+#include "lentilcross/error.h"
 #include "lentilcross/peer_message.h"
 
 namespace lentilcross {
 
+using web::FindHeader;
+using web::HttpRequest;
+using web::HttpResponse;
+using web::MakeResponse;
+
 /// Header names of section 3.1 of the design.
 namespace header {
 inline constexpr std::string_view kApiKey = "X-Api-Key";
@@ -23,23 +30,8 @@
 /// Largest header section of a request or an answer.
 inline constexpr std::size_t kMaxHeaderBytes = 32 * 1024;
 
-struct HttpRequest {
-  std::string method;
-  std::string path;  ///< With the query.
-  Headers headers;
-  std::string body;
-};
-
-struct HttpResponse {
-  std::uint16_t status = 200;
-  Headers headers;
-  std::string body;
-};
-
 /// Compares header names without regard to case.
 bool EqualHeaderName(std::string_view a, std::string_view b);
-/// Value of the first header with this name; null if there is none.
-const std::string* FindHeader(const Headers& headers, std::string_view name);
 std::size_t CountHeaders(const Headers& headers, std::string_view name);
 void RemoveHeader(Headers& headers, std::string_view name);
 /// Removes headers that are only for one connection, and the framing.
--- /dev/null
+++ b/src/onward_pipeline.cpp
@@ -0,0 +1,234 @@
+#include "onward_pipeline.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "call_replies.h"
+#include "lentilcross/config.h"
+#include "request_rules.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::steady_clock;
+
+struct Onward {
+  OnwardPipeline::ExchangeId exchange = 0;
+  HttpRequest request;
+  std::shared_ptr<const Configuration> configuration;
+  const RouteEntry* route = nullptr;
+  std::string token;
+  std::string idempotency_key;
+  bool claimed = false;
+  RequestContext context;
+  Instant deadline{};
+  std::uint16_t lent = 0;
+  OutgoingCalls::Handle outgoing = 0;
+  bool ended = false;
+};
+
+using OnwardPtr = std::shared_ptr<Onward>;
+
+Reply Refused(Reason reason, Outcome outcome, std::string detail) {
+  Reply reply;
+  reply.refusal = MakeRefusal(reason, outcome, std::move(detail));
+  return reply;
+}
+
+}  // namespace
+
+struct OnwardPipeline::Impl : std::enable_shared_from_this<Impl> {
+  Impl(DataState& data_state, OutgoingCalls& outgoing_calls,
+       TargetCalls& target_calls, Respond respond_hook)
+      : state(data_state),
+        outgoing(outgoing_calls),
+        targets(target_calls),
+        respond(std::move(respond_hook)) {}
+
+  void OnRequest(ExchangeId exchange, HttpRequest&& request) {
+    ++state.stats.onward_requests;
+    auto onward = std::make_shared<Onward>();
+    onward->exchange = exchange;
+    onward->request = std::move(request);
+    onward->configuration = state.configuration;
+    onwards[exchange] = onward;
+    const auto& headers = onward->request.headers;
+    onward->token = onward->request.header(header::kContext);
+    const ContextTokens::Entry* entry = state.tokens.Find(onward->token);
+    if (entry == nullptr || CountHeaders(headers, header::kContext) != 1) {
+      Refuse(onward, Reason::kContextInvalid, "no valid Lentilcross-Context");
+      return;
+    }
+    if (onward->request.path() == kTicketPath) {
+      IssueTickets(onward, entry->context.organisation);
+      return;
+    }
+    CheckRoute(onward, *entry);
+  }
+
+  void CheckRoute(const OnwardPtr& onward, const ContextTokens::Entry& entry) {
+    onward->route = onward->configuration->FindRoute(onward->request.path());
+    if (onward->route == nullptr) {
+      Refuse(onward, Reason::kUnknownRoute, "no route for this path");
+      return;
+    }
+    const auto timeout = TimeoutOf(onward->request, *onward->route);
+    if (!timeout) {
+      Refuse(onward, Reason::kBadRequest, "malformed Request-Timeout-Ms");
+      return;
+    }
+    onward->deadline = std::min(entry.deadline, steady_clock::now() + *timeout);
+    onward->context = entry.context;
+    ++onward->context.depth;
+    if (onward->context.depth > LENTILCROSS_CONFIG_MAX_DEPTH) {
+      Refuse(onward, Reason::kBadRequest, "the call chain is too deep");
+      return;
+    }
+    if (onward->route->idempotent || ClaimUse(onward)) Send(onward);
+  }
+
+  bool ClaimUse(const OnwardPtr& onward) {
+    onward->idempotency_key = onward->request.header(header::kIdempotencyKey);
+    const auto use = state.tokens.Claim(onward->token, onward->idempotency_key,
+                                        onward->route->id);
+    switch (use) {
+      case ContextTokens::Use::kFirst:
+        onward->claimed = true;
+        return true;
+      case ContextTokens::Use::kRepeated:
+        Finish(onward, Refused(Reason::kAlreadyRun, Outcome::kUnknown,
+                               "this onward call was made before"));
+        return false;
+      case ContextTokens::Use::kFull:
+        Refuse(onward, Reason::kOverloaded, "too many onward calls");
+        return false;
+      case ContextTokens::Use::kUnknown:
+        Refuse(onward, Reason::kContextInvalid, "the call has ended");
+        return false;
+    }
+    return false;
+  }
+
+  void IssueTickets(const OnwardPtr& onward, OrganisationId organisation) {
+    const auto count = TicketCountOf(onward->request);
+    if (onward->request.method != "POST" || !count) {
+      Refuse(onward, Reason::kBadRequest, "POST with count from 1 to 64");
+      return;
+    }
+    const Instant now = steady_clock::now();
+    std::vector<std::string> tickets;
+    for (int i = 0; i < *count; ++i) {
+      tickets.push_back(state.tickets.Issue(organisation, now));
+    }
+    End(onward, MakeTicketResponse(tickets, TicketBook::Init{}.lifetime));
+  }
+
+  void Send(const OnwardPtr& onward) {
+    OutgoingRequest request;
+    request.context = onward->context;
+    request.route = onward->route->id;
+    request.service = onward->route->service;
+    request.request = std::move(onward->request);
+    RemoveOwnHeaders(request.request.headers);
+    request.deadline = onward->deadline;
+    request.idempotent = onward->route->idempotent;
+    if (auto* entry = state.tokens.Find(onward->token)) {
+      onward->lent = entry->allowance.LendHalf();
+    }
+    request.extra_attempts = onward->lent;
+    by_token[onward->token].push_back(onward);
+    const auto handle = outgoing.Start(
+        std::move(request), [weak = weak_from_this(), onward](Reply&& reply) {
+          if (auto self = weak.lock()) self->OnReply(onward, std::move(reply));
+        });
+    if (!onward->ended) onward->outgoing = handle;
+  }
+
+  void OnReply(const OnwardPtr& onward, Reply&& reply) {
+    if (auto* entry = state.tokens.Find(onward->token)) {
+      entry->allowance.TakeBack(reply.extra_attempts_left, onward->lent);
+    }
+    targets.NoteOnward(onward->token, reply.levels, reply.attempts_exhausted);
+    Finish(onward, std::move(reply));
+  }
+
+  void Refuse(const OnwardPtr& onward, Reason reason, std::string detail) {
+    Finish(onward, Refused(reason, Outcome::kNotRun, std::move(detail)));
+  }
+
+  void Finish(const OnwardPtr& onward, Reply&& reply) {
+    if (onward->ended) return;
+    if (onward->claimed && IsNotRun(reply)) {
+      state.tokens.Free(onward->token, onward->idempotency_key,
+                        onward->route->id);
+    }
+    if (IsAnswer(reply)) {
+      ++state.stats.answered;
+    } else {
+      ++state.stats.refused[static_cast<std::size_t>(reply.refusal.reason)];
+    }
+    End(onward, ToHttpResponse(std::move(reply)));
+  }
+
+  void End(const OnwardPtr& onward, HttpResponse response) {
+    onward->ended = true;
+    onwards.erase(onward->exchange);
+    RemoveFromToken(onward);
+    respond(onward->exchange, std::move(response));
+  }
+
+  void RemoveFromToken(const OnwardPtr& onward) {
+    const auto it = by_token.find(onward->token);
+    if (it == by_token.end()) return;
+    auto& list = it->second;
+    list.erase(std::remove(list.begin(), list.end(), onward), list.end());
+    if (list.empty()) by_token.erase(it);
+  }
+
+  void OnAbandoned(ExchangeId exchange) {
+    const auto it = onwards.find(exchange);
+    if (it == onwards.end()) return;
+    const OnwardPtr onward = it->second;
+    outgoing.Abort(onward->outgoing, Reason::kDeadlineExceeded);
+  }
+
+  void OnTokenEnded(const std::string& token) {
+    const auto it = by_token.find(token);
+    if (it == by_token.end()) return;
+    const std::vector<OnwardPtr> list = it->second;
+    for (const OnwardPtr& onward : list) {
+      outgoing.Abort(onward->outgoing, Reason::kDeadlineExceeded);
+    }
+  }
+
+  DataState& state;
+  OutgoingCalls& outgoing;
+  TargetCalls& targets;
+  Respond respond;
+  std::unordered_map<ExchangeId, OnwardPtr> onwards;
+  std::unordered_map<std::string, std::vector<OnwardPtr>> by_token;
+};
+
+OnwardPipeline::OnwardPipeline(DataState& state, OutgoingCalls& outgoing,
+                               TargetCalls& targets, Respond respond)
+    : impl_(std::make_shared<Impl>(state, outgoing, targets,
+                                   std::move(respond))) {}
+
+OnwardPipeline::~OnwardPipeline() = default;
+
+void OnwardPipeline::OnRequest(ExchangeId exchange, HttpRequest&& request) {
+  impl_->OnRequest(exchange, std::move(request));
+}
+
+void OnwardPipeline::OnAbandoned(ExchangeId exchange) {
+  impl_->OnAbandoned(exchange);
+}
+
+void OnwardPipeline::OnTokenEnded(const std::string& token) {
+  impl_->OnTokenEnded(token);
+}
+
+std::size_t OnwardPipeline::running() const { return impl_->onwards.size(); }
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/outgoing_calls.cpp
@@ -0,0 +1,447 @@
+#include "outgoing_calls.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "call_replies.h"
+#include "retry_policy.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::steady_clock;
+
+/// Wait for the answer to a cancellation: the longest round trip of the design
+/// size (16 ms) and margin.
+constexpr Duration kCancelWait = std::chrono::milliseconds(50);
+
+enum class Phase : std::uint8_t {
+  kConnecting,  ///< Waits for a link; nothing was sent.
+  kLocal,
+  kPeer,
+  kCancelling,  ///< A cancel was sent to the peer.
+  kEnded,
+};
+
+struct Outgoing {
+  Outgoing(boost::asio::io_context& io, OutgoingRequest&& outgoing)
+      : request(std::move(outgoing)),
+        allowance(request.extra_attempts),
+        timer(io) {}
+
+  OutgoingCalls::Handle handle = 0;
+  OutgoingRequest request;
+  OutgoingCalls::Done done;
+  AttemptAllowance allowance;
+  boost::asio::steady_timer timer;
+  AttemptHistory history;
+  std::vector<TargetId> tried;
+  std::vector<ServiceLevel> levels;
+  Reason abort_reason = Reason::kNone;
+
+  // The attempt in progress.
+  Phase phase = Phase::kEnded;
+  Call call;
+  TargetId target;
+  HostId host;
+  LinkId link = 0;
+  Instant started{};
+};
+
+using OutgoingPtr = std::shared_ptr<Outgoing>;
+
+}  // namespace
+
+struct OutgoingCalls::Impl : std::enable_shared_from_this<Impl> {
+  Impl(boost::asio::io_context& context, DataState& data_state,
+       PeerLinks& peer_links, TargetCalls& target_calls)
+      : io(context),
+        state(data_state),
+        links(peer_links),
+        targets(target_calls) {}
+
+  // ----- Attempts
+
+  Handle Start(OutgoingRequest request, Done done) {
+    auto out = std::make_shared<Outgoing>(io, std::move(request));
+    out->handle = ++last_handle;
+    out->done = std::move(done);
+    by_handle[out->handle] = out;
+    state.retry.RecordFirstAttempt(out->request.service, steady_clock::now());
+    SetTimer(out, out->request.deadline);
+    if (out->request.issuer) {
+      SendToIssuer(out);
+    } else {
+      Attempt(out);
+    }
+    return out->handle;
+  }
+
+  void Attempt(const OutgoingPtr& out) {
+    const Instant now = steady_clock::now();
+    if (now >= out->request.deadline) {
+      FinishRefused(out, Reason::kDeadlineExceeded, "deadline passed");
+      return;
+    }
+    const auto pick = state.router.Choose(
+        out->request.service, state.membership, out->tried, now, state.random);
+    if (!pick) {
+      FinishRefused(out, Reason::kNoTarget, "no usable target of the service");
+      return;
+    }
+    const bool again = std::find(out->tried.begin(), out->tried.end(),
+                                 pick->target) != out->tried.end();
+    if (again && out->history.only_overloaded()) {
+      FinishRefused(out, Reason::kOverloaded, "all targets are overloaded");
+      return;
+    }
+    if (!again) out->tried.push_back(pick->target);
+    out->target = pick->target;
+    out->host = pick->host;
+    out->started = now;
+    state.router.OnStart(pick->target);
+    PrepareCall(out, now);
+    if (out->host == state.self) {
+      CallLocally(out);
+    } else {
+      CallPeer(out);
+    }
+  }
+
+  void PrepareCall(const OutgoingPtr& out, Instant now) {
+    const OutgoingRequest& request = out->request;
+    Call& call = out->call;
+    call.number = state.NextCall();
+    call.context = request.context;
+    call.route = request.route;
+    call.service = request.service;
+    call.method = request.request.method;
+    call.path = request.request.target;
+    call.headers = request.request.headers;
+    call.body = request.request.body;
+    call.remaining = request.deadline - now;
+    // One half stays here, so that this hop can still retry when the reply and
+    // the half that went with the call are lost. The sum does not grow.
+    call.extra_attempts =
+        request.issuer ? out->allowance.LendAll() : out->allowance.LendHalf();
+    call.idempotent = request.idempotent;
+    call.to_ticket_issuer = request.issuer.has_value();
+  }
+
+  void CallLocally(const OutgoingPtr& out) {
+    out->phase = Phase::kLocal;
+    TargetCalls::Options options;
+    options.local = true;
+    options.key = out->request.key;
+    const CallNumber number = out->call.number;
+    const bool taken =
+        targets.Accept(state.incarnation, out->call, options,
+                       [weak = weak_from_this(), out, number](Reply&& reply) {
+                         auto self = weak.lock();
+                         if (!self || out->phase == Phase::kEnded) return;
+                         if (out->call.number == number)
+                           self->EndAttempt(out, reply);
+                       });
+    if (!taken) {
+      EndAttempt(out, NotRun(out->call, Reason::kOverloaded, "duplicate"));
+    }
+  }
+
+  void CallPeer(const OutgoingPtr& out) {
+    out->link = links.Find(out->host);
+    if (out->link != 0) {
+      SendCall(out);
+      return;
+    }
+    out->phase = Phase::kConnecting;
+    connecting[out->host].push_back(out);
+    if (!links.Connect(out->host)) OnUnreachable(out->host);
+  }
+
+  void SendCall(const OutgoingPtr& out) {
+    const auto& key = out->request.key;
+    if (key && !state.keys.IsGood(*key)) {
+      EndAttempt(out,
+                 NotRun(out->call, Reason::kWithdrawnKey, "key withdrawn"));
+      return;
+    }
+    const Instant now = steady_clock::now();
+    out->call.remaining = out->request.deadline - now;
+    if (out->call.remaining <= Duration::zero()) {
+      EndAttempt(out, NotRun(out->call, Reason::kDeadlineExceeded,
+                             "deadline passed before the call was sent"));
+      return;
+    }
+    out->phase = Phase::kPeer;
+    if (!links.SendOn(out->link, out->call)) {
+      EndAttempt(out, NotRun(out->call, Reason::kOverloaded,
+                             "queue of the peer link is full"));
+      return;
+    }
+    links.AddOutstanding(out->link, 1);
+    by_number[out->call.number] = out;
+  }
+
+  void SendToIssuer(const OutgoingPtr& out) {
+    out->host = out->request.issuer->host;
+    out->started = steady_clock::now();
+    PrepareCall(out, out->started);
+    CallPeer(out);
+  }
+
+  /// True unless the link leads to another process than the one that issued the
+  /// ticket.
+  bool IsRightPeer(const OutgoingPtr& out, LinkId link) const {
+    if (!out->request.issuer) return true;
+    const PeerLinks::Peer* peer = links.Describe(link);
+    return peer != nullptr &&
+           peer->incarnation == out->request.issuer->incarnation;
+  }
+
+  // ----- Ends of attempts
+
+  void Detach(const OutgoingPtr& out) {
+    if (out->phase == Phase::kPeer || out->phase == Phase::kCancelling) {
+      if (by_number.erase(out->call.number) != 0) {
+        links.AddOutstanding(out->link, -1);
+      }
+    }
+    out->phase = Phase::kEnded;
+    out->link = 0;
+  }
+
+  void EndAttempt(const OutgoingPtr& out, Reply reply) {
+    const bool cancelling = out->phase == Phase::kCancelling;
+    Detach(out);
+    out->allowance.TakeBack(reply.extra_attempts_left,
+                            out->call.extra_attempts);
+    MergeLevels(out->levels, reply.levels);
+    if (!out->request.issuer) {
+      const Instant now = steady_clock::now();
+      state.router.OnEnd(out->target, ObservationOf(reply, out->abort_reason),
+                         now - out->started, now);
+    }
+    out->history.Record(reply);
+    if (cancelling && !IsAnswer(reply)) {
+      reply.refusal.reason = out->abort_reason;
+      Finish(out, std::move(reply));
+      return;
+    }
+    if (!MayRetry(out, reply)) {
+      Finish(out, std::move(reply));
+      return;
+    }
+    ++state.stats.retries;
+    out->history.AddRetry();
+    Attempt(out);
+  }
+
+  bool MayRetry(const OutgoingPtr& out, const Reply& reply) {
+    if (out->request.issuer || out->abort_reason != Reason::kNone) return false;
+    if (!IsRetryable(reply, out->request.idempotent)) return false;
+    const Instant now = steady_clock::now();
+    if (now >= out->request.deadline) return false;
+    return out->allowance.extra_attempts() > 0 &&
+           state.retry.TryRetry(out->request.service, now) &&
+           out->allowance.Spend();
+  }
+
+  void FinishRefused(const OutgoingPtr& out, Reason reason,
+                     std::string detail) {
+    Reply reply;
+    reply.refusal = MakeRefusal(reason, Outcome::kNotRun, std::move(detail));
+    Finish(out, std::move(reply));
+  }
+
+  void Finish(const OutgoingPtr& out, Reply reply) {
+    out->timer.cancel();
+    by_handle.erase(out->handle);
+    if (!IsAnswer(reply)) {
+      if (!out->request.issuer) out->history.Judge(reply.refusal);
+      reply.attempts_exhausted = true;
+    }
+    reply.extra_attempts_left = out->allowance.extra_attempts();
+    reply.levels = std::move(out->levels);
+    Done done = std::exchange(out->done, nullptr);
+    if (done) done(std::move(reply));
+  }
+
+  // ----- Deadline and cancellation
+
+  void SetTimer(const OutgoingPtr& out, Instant at) {
+    out->timer.expires_at(at);
+    out->timer.async_wait(
+        [weak = weak_from_this(), out](boost::system::error_code error) {
+          auto self = weak.lock();
+          if (error || !self || !out->done) return;
+          if (out->phase == Phase::kCancelling) {
+            self->EndAttempt(out, Unknown(out->call, out->abort_reason,
+                                          "the peer did not confirm"));
+          } else {
+            self->Abort(out, Reason::kDeadlineExceeded);
+          }
+        });
+  }
+
+  void Abort(const OutgoingPtr& out, Reason reason) {
+    if (out->abort_reason != Reason::kNone) return;
+    out->abort_reason = reason;
+    switch (out->phase) {
+      case Phase::kConnecting:
+        RemoveConnecting(out);
+        EndAttempt(out, IssuerOr(out, NotRun(out->call, reason, "not sent")));
+        return;
+      case Phase::kLocal: {
+        const bool never = targets.Cancel(state.incarnation, out->call.number);
+        EndAttempt(out, never ? NotRun(out->call, reason, "never written")
+                              : Unknown(out->call, reason, "may have run"));
+        return;
+      }
+      case Phase::kPeer:
+        ++state.stats.cancels_sent;
+        out->phase = Phase::kCancelling;
+        links.SendOn(out->link, Cancel{out->call.number});
+        SetTimer(out, steady_clock::now() + kCancelWait);
+        return;
+      case Phase::kCancelling:
+      case Phase::kEnded:
+        return;
+    }
+  }
+
+  /// An unreached issuer says nothing about earlier uses of the ticket.
+  Reply IssuerOr(const OutgoingPtr& out, Reply reply) const {
+    if (!out->request.issuer) return reply;
+    return Unknown(out->call, Reason::kTicketIssuerUnreachable,
+                   reply.refusal.detail);
+  }
+
+  // ----- Events of links
+
+  void OnReply(LinkId link, Reply&& reply) {
+    const auto it = by_number.find(reply.number);
+    if (it == by_number.end() || it->second->link != link) {
+      ++state.stats.unmatched_replies;
+      return;
+    }
+    const OutgoingPtr out = it->second;
+    if (IsAnswer(reply) && !IsWellFormed(reply)) {
+      EndAttempt(out,
+                 Unknown(out->call, Reason::kTargetFailed, "malformed reply"));
+      return;
+    }
+    EndAttempt(out, std::move(reply));
+  }
+
+  void OnCancelAck(LinkId link, const CancelAck& ack) {
+    const auto it = by_number.find(ack.number);
+    if (it == by_number.end() || it->second->link != link) return;
+    const OutgoingPtr out = it->second;
+    if (out->phase != Phase::kCancelling) return;
+    EndAttempt(out, ack.never_run
+                        ? NotRun(out->call, out->abort_reason, "never written")
+                        : Unknown(out->call, out->abort_reason,
+                                  "cancelled while it ran"));
+  }
+
+  std::vector<OutgoingPtr> TakeConnecting(HostId host) {
+    const auto it = connecting.find(host);
+    if (it == connecting.end()) return {};
+    std::vector<OutgoingPtr> waiting = std::move(it->second);
+    connecting.erase(it);
+    return waiting;
+  }
+
+  void RemoveConnecting(const OutgoingPtr& out) {
+    auto& waiting = connecting[out->host];
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), out),
+                  waiting.end());
+  }
+
+  void OnLinkUp(HostId host, LinkId link) {
+    for (const OutgoingPtr& out : TakeConnecting(host)) {
+      out->link = link;
+      if (IsRightPeer(out, link)) {
+        SendCall(out);
+      } else {
+        EndAttempt(out, IssuerOr(out, NotRun(out->call, Reason::kNoTarget,
+                                             "the issuer has restarted")));
+      }
+    }
+  }
+
+  void OnUnreachable(HostId host) {
+    for (const OutgoingPtr& out : TakeConnecting(host)) {
+      EndAttempt(out, IssuerOr(out, NotRun(out->call, Reason::kNoTarget,
+                                           "the host cannot be reached")));
+    }
+  }
+
+  void OnLinkDown(LinkId link) {
+    std::vector<OutgoingPtr> lost;
+    for (const auto& [number, out] : by_number) {
+      if (out->link == link) lost.push_back(out);
+    }
+    for (const OutgoingPtr& out : lost) {
+      Reply reply = IssuerOr(
+          out, Unknown(out->call, Reason::kTargetFailed, "peer link lost"));
+      reply.extra_attempts_left = 0;  // went with the call
+      EndAttempt(out, std::move(reply));
+    }
+  }
+
+  boost::asio::io_context& io;
+  DataState& state;
+  PeerLinks& links;
+  TargetCalls& targets;
+  Handle last_handle = 0;
+  std::unordered_map<Handle, OutgoingPtr> by_handle;
+  std::unordered_map<CallNumber, OutgoingPtr> by_number;  ///< At peers.
+  std::unordered_map<HostId, std::vector<OutgoingPtr>> connecting;
+};
+
+OutgoingCalls::OutgoingCalls(boost::asio::io_context& io, DataState& state,
+                             PeerLinks& links, TargetCalls& targets)
+    : impl_(std::make_shared<Impl>(io, state, links, targets)) {}
+
+OutgoingCalls::~OutgoingCalls() = default;
+
+OutgoingCalls::Handle OutgoingCalls::Start(OutgoingRequest request, Done done) {
+  return impl_->Start(std::move(request), std::move(done));
+}
+
+void OutgoingCalls::Abort(Handle handle, Reason reason) {
+  const auto it = impl_->by_handle.find(handle);
+  if (it == impl_->by_handle.end()) return;
+  const OutgoingPtr out = it->second;
+  impl_->Abort(out, reason);
+}
+
+void OutgoingCalls::AbortAll(Reason reason) {
+  std::vector<OutgoingPtr> all;
+  for (const auto& [handle, out] : impl_->by_handle) all.push_back(out);
+  for (const OutgoingPtr& out : all) impl_->Abort(out, reason);
+}
+
+void OutgoingCalls::OnReply(LinkId link, Reply&& reply) {
+  impl_->OnReply(link, std::move(reply));
+}
+
+void OutgoingCalls::OnCancelAck(LinkId link, const CancelAck& ack) {
+  impl_->OnCancelAck(link, ack);
+}
+
+void OutgoingCalls::OnLinkUp(HostId host, LinkId link) {
+  impl_->OnLinkUp(host, link);
+}
+
+void OutgoingCalls::OnLinkDown(LinkId link) { impl_->OnLinkDown(link); }
+
+void OutgoingCalls::OnUnreachable(HostId host) { impl_->OnUnreachable(host); }
+
+std::size_t OutgoingCalls::running() const { return impl_->by_handle.size(); }
+
+}  // namespace lentilcross
--- a/src/peer_links.cpp
+++ b/src/peer_links.cpp
@@ -29,6 +29,7 @@
   Instant opened{};
   Instant heard{};
   Instant pinged{};
+  Instant confirmed{};
   Instant busy_since{};
   Instant used{};
   int outstanding = 0;
@@ -133,12 +134,17 @@
     const Hello hello = *link.hello;
     link.up = true;
     link.used = steady_clock::now();
+    // The proof covers the nonce that was sent after `opened`.
+    link.confirmed = link.opened;
     link.peer = {id, hello.host, hello.incarnation, hello.failure_domain};
     transport.SetMaxFrame(id, LENTILCROSS_CONFIG_MAX_PEER_MESSAGE);
     ++stats.authenticated;
     by_host[hello.host].push_back(id);
     const Peer peer = link.peer;
-    hooks.on_up(peer, hello);
+    if (!hooks.on_up(peer)) {
+      Drop(id, DownKind::kClosed);
+      return;
+    }
     FlushPending(hello.host, id);
   }
 
@@ -210,7 +216,10 @@
       SendRaw(id, Pong{ping->number});
       return;
     }
-    if (std::holds_alternative<Pong>(message)) return;
+    if (const auto* pong = std::get_if<Pong>(&message)) {
+      if (pong->number == link.pings) link.confirmed = link.pinged;
+      return;
+    }
     if (std::holds_alternative<Hello>(message) ||
         std::holds_alternative<Proof>(message)) {
       ++stats.refused_messages;
@@ -430,6 +439,11 @@
   return &it->second.peer;
 }
 
+Instant PeerLinks::ConfirmedSince(LinkId link) const {
+  const auto it = impl_->links.find(link);
+  return it == impl_->links.end() ? Instant{} : it->second.confirmed;
+}
+
 bool PeerLinks::Connect(HostId host) { return impl_->Connect(host); }
 
 bool PeerLinks::SendOn(LinkId link, const PeerMessage& message) {
--- a/src/peer_links.h
+++ b/src/peer_links.h
@@ -47,7 +47,8 @@
   enum class DownKind : std::uint8_t { kClosed, kBroken, kSilent };
   struct Hooks {
     std::function<Version()> version;
-    std::function<void(const Peer&, const Hello&)> on_up;
+    /// False closes the link.
+    std::function<bool(const Peer&)> on_up;
     std::function<void(const Peer&, PeerMessage&&)> on_message;
     std::function<void(const Peer&, DownKind)> on_down;
     /// A link that was being opened could not be.
@@ -69,6 +70,9 @@
   LinkId Find(HostId host) const;
   /// The other end, null if the link is not up.
   const Peer* Describe(LinkId link) const;
+  /// Time of the last heartbeat that the peer answered on this link. What it
+  /// sent since then was sent later than that.
+  Instant ConfirmedSince(LinkId link) const;
   /// Starts to open a link unless one is up or being opened. False if the host
   /// has no address or the last attempt failed a moment ago.
   bool Connect(HostId host);
--- /dev/null
+++ b/src/rate_waits.cpp
@@ -0,0 +1,166 @@
+#include "rate_waits.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::steady_clock;
+
+/// Requests that may wait for tokens at the same time.
+constexpr std::size_t kMaxWaiting = 8192;
+
+struct Waiting {
+  RateWaits::Handle handle = 0;
+  Instant arrived{};
+  Instant deadline{};
+  Instant retry_at{};
+  RateWaits::Done done;
+};
+
+struct Ended {
+  RateWaits::Done done;
+  RateWaits::Result result;
+};
+
+}  // namespace
+
+struct RateWaits::Impl : std::enable_shared_from_this<Impl> {
+  Impl(boost::asio::io_context& io, DataState& data_state, Hooks wait_hooks)
+      : state(data_state), hooks(std::move(wait_hooks)), timer(io) {}
+
+  Handle Charge(OrganisationId organisation, Instant deadline, Done done) {
+    const Instant now = steady_clock::now();
+    RetryOne(organisation, now);
+    const RateBook::Charge charge =
+        state.rate.TryCharge(organisation, Duration::zero(), now);
+    if (charge.verdict == RateBook::Verdict::kAdmitted) {
+      done({Verdict::kAdmitted, {}});
+      return 0;
+    }
+    if (charge.verdict == RateBook::Verdict::kRefused || count >= kMaxWaiting) {
+      done({Verdict::kRefused, charge.retry_after});
+      return 0;
+    }
+    ++state.stats.rate_waits;
+    ++count;
+    const Handle handle = ++last_handle;
+    queues[organisation].push_back(
+        {handle, now, deadline, charge.retry_at, std::move(done)});
+    hooks.on_wait();
+    StartTimer();
+    return handle;
+  }
+
+  void Cancel(Handle handle) {
+    for (auto& [organisation, queue] : queues) {
+      const auto it = std::find_if(
+          queue.begin(), queue.end(),
+          [handle](const Waiting& w) { return w.handle == handle; });
+      if (it == queue.end()) continue;
+      queue.erase(it);
+      --count;
+      return;
+    }
+  }
+
+  void Retry() {
+    const Instant now = steady_clock::now();
+    std::vector<OrganisationId> organisations;
+    for (const auto& [organisation, queue] : queues) {
+      if (!queue.empty()) organisations.push_back(organisation);
+    }
+    for (const OrganisationId organisation : organisations) {
+      RetryOne(organisation, now);
+    }
+    StartTimer();
+  }
+
+  void RetryOne(OrganisationId organisation, Instant now) {
+    const auto it = queues.find(organisation);
+    if (it == queues.end() || it->second.empty()) return;
+    std::vector<Ended> ended;
+    TakeLate(it->second, now, ended);
+    TakeCharged(organisation, it->second, now, ended);
+    count -= ended.size();
+    // The callbacks may change the queues.
+    for (const Ended& end : ended) end.done(end.result);
+  }
+
+  static void TakeLate(std::deque<Waiting>& queue, Instant now,
+                       std::vector<Ended>& ended) {
+    for (auto it = queue.begin(); it != queue.end();) {
+      if (now < it->deadline) {
+        ++it;
+        continue;
+      }
+      ended.push_back({std::move(it->done), {Verdict::kDeadline, {}}});
+      it = queue.erase(it);
+    }
+  }
+
+  void TakeCharged(OrganisationId organisation, std::deque<Waiting>& queue,
+                   Instant now, std::vector<Ended>& ended) {
+    while (!queue.empty()) {
+      Waiting& front = queue.front();
+      // A wait of 0 would mark a new request.
+      const Duration waited = std::max(now - front.arrived, Duration(1));
+      const auto charge = state.rate.TryCharge(organisation, waited, now);
+      if (charge.verdict == RateBook::Verdict::kWait) {
+        front.retry_at = charge.retry_at;
+        return;
+      }
+      const bool admitted = charge.verdict == RateBook::Verdict::kAdmitted;
+      ended.push_back({std::move(front.done),
+                       {admitted ? Verdict::kAdmitted : Verdict::kRefused,
+                        charge.retry_after}});
+      queue.pop_front();
+    }
+  }
+
+  void StartTimer() {
+    Instant next = Instant::max();
+    for (const auto& [organisation, queue] : queues) {
+      for (const Waiting& waiting : queue) {
+        next = std::min({next, waiting.deadline, waiting.retry_at});
+      }
+    }
+    if (next == Instant::max()) return;
+    timer.expires_at(next);
+    timer.async_wait(
+        [weak = weak_from_this()](boost::system::error_code error) {
+          auto self = weak.lock();
+          if (!error && self) self->Retry();
+        });
+  }
+
+  DataState& state;
+  Hooks hooks;
+  boost::asio::steady_timer timer;
+  Handle last_handle = 0;
+  std::size_t count = 0;
+  std::unordered_map<OrganisationId, std::deque<Waiting>> queues;
+};
+
+RateWaits::RateWaits(boost::asio::io_context& io, DataState& state, Hooks hooks)
+    : impl_(std::make_shared<Impl>(io, state, std::move(hooks))) {}
+
+RateWaits::~RateWaits() = default;
+
+RateWaits::Handle RateWaits::Charge(OrganisationId organisation,
+                                    Instant deadline, Done done) {
+  return impl_->Charge(organisation, deadline, std::move(done));
+}
+
+void RateWaits::Cancel(Handle handle) { impl_->Cancel(handle); }
+
+void RateWaits::Retry() { impl_->Retry(); }
+
+std::size_t RateWaits::waiting() const { return impl_->count; }
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/request_pipeline.cpp
@@ -0,0 +1,326 @@
+#include "request_pipeline.h"
+
+#include <unordered_map>
+#include <utility>
+
+#include "call_replies.h"
+#include "request_rules.h"
+#include "ticket_calls.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::steady_clock;
+
+struct Entry {
+  RequestPipeline::ExchangeId exchange = 0;
+  HttpRequest request;
+  std::shared_ptr<const Configuration> configuration;
+  const RouteEntry* route = nullptr;
+  std::optional<KeyRing::Lookup> key;
+  RequestContext context;
+  Instant deadline{};
+  std::optional<std::uint64_t> ticket;  ///< Serial of a claimed ticket.
+  std::optional<TicketBook::Issuer> issuer;
+  RateWaits::Handle wait = 0;
+  OutgoingCalls::Handle outgoing = 0;
+  bool ended = false;
+};
+
+using EntryPtr = std::shared_ptr<Entry>;
+
+Reply Refused(Reason reason, std::string detail) {
+  Reply reply;
+  reply.refusal = MakeRefusal(reason, Outcome::kNotRun, std::move(detail));
+  return reply;
+}
+
+}  // namespace
+
+struct RequestPipeline::Impl : std::enable_shared_from_this<Impl> {
+  Impl(DataState& data_state, OutgoingCalls& outgoing_calls,
+       RateWaits& rate_waits, Respond respond_hook)
+      : state(data_state),
+        outgoing(outgoing_calls),
+        waits(rate_waits),
+        respond(std::move(respond_hook)) {}
+
+  // ----- Checks, in the order of the request path
+
+  void OnRequest(ExchangeId exchange, HttpRequest&& request) {
+    ++state.stats.entry_requests;
+    auto entry = std::make_shared<Entry>();
+    entry->exchange = exchange;
+    entry->request = std::move(request);
+    entry->configuration = state.configuration;
+    entries[exchange] = entry;
+    if (state.draining) {
+      Refuse(entry, Reason::kDraining, "daemon is draining");
+    } else if (!state.ready || !entry->configuration) {
+      Refuse(entry, Reason::kNotReady, "no confirmed configuration yet");
+    } else if (entry->request.path() == kTicketPath) {
+      IssueTickets(entry);
+    } else {
+      CheckRoute(entry);
+    }
+  }
+
+  void CheckRoute(const EntryPtr& entry) {
+    entry->route = entry->configuration->FindRoute(entry->request.path());
+    if (entry->route == nullptr) {
+      Refuse(entry, Reason::kUnknownRoute, "no route for this path");
+      return;
+    }
+    const auto timeout = TimeoutOf(entry->request, *entry->route);
+    if (!timeout) {
+      Refuse(entry, Reason::kBadRequest, "malformed Request-Timeout-Ms");
+      return;
+    }
+    entry->deadline = steady_clock::now() + *timeout;
+    if (!entry->route->open && !CheckKey(entry)) return;
+    MakeContext(*entry);
+    if (entry->route->importance < entry->configuration->preset.refuse_below) {
+      Refuse(entry, Reason::kOverloaded, "the preset refuses this importance");
+      return;
+    }
+    if (entry->route->idempotent || CheckTicket(entry)) ChargeRate(entry);
+  }
+
+  bool CheckKey(const EntryPtr& entry) {
+    if (state.stale) {
+      Refuse(entry, Reason::kConfigurationStale, "configuration is stale");
+      return false;
+    }
+    if (CountHeaders(entry->request.headers, header::kApiKey) > 1) {
+      Refuse(entry, Reason::kBadRequest, "more than one X-Api-Key");
+      return false;
+    }
+    const auto found = state.keys.Find(entry->request.header(header::kApiKey));
+    if (found.reason != Reason::kNone) {
+      Refuse(entry, found.reason, "no valid key");
+      return false;
+    }
+    entry->key = found;
+    return true;
+  }
+
+  void MakeContext(Entry& entry) {
+    RequestContext& context = entry.context;
+    context.id = RequestId::Make(state.random);
+    if (entry.key) context.organisation = entry.key->organisation;
+    context.importance = entry.route->importance;
+    context.version = entry.configuration->version;
+    context.entry_host = state.self;
+  }
+
+  /// True if the request may go on; claims a ticket of this process.
+  bool CheckTicket(const EntryPtr& entry) {
+    const auto& headers = entry->request.headers;
+    if (CountHeaders(headers, header::kIdempotencyKey) > 1) {
+      Refuse(entry, Reason::kBadRequest, "more than one Idempotency-Key");
+      return false;
+    }
+    const std::string ticket(entry->request.header(header::kIdempotencyKey));
+    if (ticket.empty()) {
+      RequireTicket(entry);
+      return false;
+    }
+    const auto issuer = TicketBook::ParseIssuer(ticket);
+    if (!issuer) {
+      Refuse(entry, Reason::kTicketInvalid, "the Idempotency-Key is no ticket");
+      return false;
+    }
+    if (issuer->host != state.self) {
+      entry->issuer = issuer;
+      return true;
+    }
+    const Instant now = steady_clock::now();
+    const TicketBook::Use use = state.tickets.Claim(
+        ticket, entry->context.organisation, entry->route->id, now);
+    if (use.reason != Reason::kNone) {
+      Finish(entry, ReplyToUse(use));
+      return false;
+    }
+    entry->ticket = use.serial;
+    return true;
+  }
+
+  void RequireTicket(const EntryPtr& entry) {
+    Reply reply = Refused(Reason::kTicketRequired,
+                          "repeat the request with this Idempotency-Key");
+    const std::string ticket =
+        state.tickets.Issue(entry->context.organisation, steady_clock::now());
+    HttpResponse response = MakeProblem(reply.refusal);
+    response.headers.emplace_back(header::kIdempotencyKey, ticket);
+    End(entry, reply, std::move(response));
+  }
+
+  void IssueTickets(const EntryPtr& entry) {
+    const auto count = TicketCountOf(entry->request);
+    if (entry->request.method != "POST" || !count) {
+      Refuse(entry, Reason::kBadRequest, "POST with count from 1 to 64");
+      return;
+    }
+    if (!CheckKey(entry)) return;
+    const Instant now = steady_clock::now();
+    std::vector<std::string> tickets;
+    for (int i = 0; i < *count; ++i) {
+      tickets.push_back(state.tickets.Issue(entry->key->organisation, now));
+    }
+    End(entry, {}, MakeTicketResponse(tickets, TicketBook::Init{}.lifetime));
+  }
+
+  // ----- Rate and entry gate
+
+  void ChargeRate(const EntryPtr& entry) {
+    if (entry->route->open) {
+      PassGate(entry);  // organisation 0 has no rate
+      return;
+    }
+    const auto handle = waits.Charge(
+        entry->context.organisation, entry->deadline,
+        [weak = weak_from_this(), entry](const RateWaits::Result& result) {
+          if (auto self = weak.lock()) self->OnCharged(entry, result);
+        });
+    if (!entry->ended && handle != 0) entry->wait = handle;
+  }
+
+  void OnCharged(const EntryPtr& entry, const RateWaits::Result& result) {
+    entry->wait = 0;
+    if (entry->ended) return;
+    if (entry->key && !state.keys.IsGood(*entry->key)) {
+      Refuse(entry, Reason::kWithdrawnKey, "key withdrawn during a wait");
+      return;
+    }
+    switch (result.verdict) {
+      case RateWaits::Verdict::kAdmitted:
+        PassGate(entry);
+        return;
+      case RateWaits::Verdict::kDeadline:
+        Refuse(entry, Reason::kDeadlineExceeded, "deadline during a wait");
+        return;
+      case RateWaits::Verdict::kRefused:
+        Refuse(entry, Reason::kRateExceeded, "rate of the organisation is used",
+               result.retry_after);
+        return;
+    }
+  }
+
+  void PassGate(const EntryPtr& entry) {
+    const RequestContext& context = entry->context;
+    const auto verdict = state.gate.Admit(
+        entry->route->id, context.organisation, context.importance, context.id,
+        steady_clock::now(), state.random);
+    if (!verdict.admitted) {
+      Refuse(entry, Reason::kOverloaded, "a service behind the route is full",
+             verdict.retry_after);
+      return;
+    }
+    Send(entry);
+  }
+
+  void Send(const EntryPtr& entry) {
+    OutgoingRequest request;
+    request.context = entry->context;
+    request.route = entry->route->id;
+    request.service = entry->route->service;
+    request.request = std::move(entry->request);
+    RemoveOwnHeaders(request.request.headers);
+    request.deadline = entry->deadline;
+    request.idempotent = entry->route->idempotent;
+    request.extra_attempts =
+        static_cast<std::uint16_t>(entry->configuration->preset.extra_attempts);
+    request.key = entry->key;
+    request.issuer = entry->issuer;
+    if (entry->issuer) ++state.stats.tickets_forwarded;
+    const auto handle = outgoing.Start(
+        std::move(request), [weak = weak_from_this(), entry](Reply&& reply) {
+          if (auto self = weak.lock()) self->Finish(entry, std::move(reply));
+        });
+    if (!entry->ended) entry->outgoing = handle;
+  }
+
+  // ----- Ends
+
+  void Refuse(const EntryPtr& entry, Reason reason, std::string detail,
+              Duration retry_after = {}) {
+    Reply reply = Refused(reason, std::move(detail));
+    reply.refusal.retry_after = retry_after;
+    Finish(entry, std::move(reply));
+  }
+
+  void Finish(const EntryPtr& entry, Reply&& reply) {
+    if (entry->ended) return;
+    if (entry->ticket) FinishTicket(state.tickets, *entry->ticket, reply);
+    if (entry->route != nullptr && !reply.levels.empty()) {
+      state.gate.OnReply(entry->route->id, entry->context.organisation,
+                         reply.levels, steady_clock::now());
+    }
+    AdviseRetry(reply.refusal);
+    HttpResponse response = ToHttpResponse(Reply(reply));
+    End(entry, reply, std::move(response));
+  }
+
+  void AdviseRetry(Refusal& refusal) {
+    switch (refusal.reason) {
+      case Reason::kRateExceeded:
+      case Reason::kOverloaded:
+      case Reason::kNotReady:
+      case Reason::kDraining:
+      case Reason::kConfigurationStale:
+      case Reason::kNoTarget:
+        refusal.retry_after = AddJitter(refusal.retry_after, state.random);
+        return;
+      default:
+        return;
+    }
+  }
+
+  void End(const EntryPtr& entry, const Reply& reply, HttpResponse response) {
+    entry->ended = true;
+    if (IsAnswer(reply)) {
+      ++state.stats.answered;
+    } else {
+      ++state.stats.refused[static_cast<std::size_t>(reply.refusal.reason)];
+    }
+    entries.erase(entry->exchange);
+    respond(entry->exchange, std::move(response));
+  }
+
+  void OnAbandoned(ExchangeId exchange) {
+    const auto it = entries.find(exchange);
+    if (it == entries.end()) return;
+    const EntryPtr entry = it->second;
+    if (entry->outgoing != 0) {
+      outgoing.Abort(entry->outgoing, Reason::kDeadlineExceeded);
+      return;
+    }
+    if (entry->wait != 0) waits.Cancel(entry->wait);
+    Refuse(entry, Reason::kDeadlineExceeded, "the caller is gone");
+  }
+
+  DataState& state;
+  OutgoingCalls& outgoing;
+  RateWaits& waits;
+  Respond respond;
+  std::unordered_map<ExchangeId, EntryPtr> entries;
+};
+
+RequestPipeline::RequestPipeline(DataState& state, OutgoingCalls& outgoing,
+                                 RateWaits& waits, Respond respond)
+    : impl_(
+          std::make_shared<Impl>(state, outgoing, waits, std::move(respond))) {}
+
+RequestPipeline::~RequestPipeline() = default;
+
+void RequestPipeline::OnRequest(ExchangeId exchange, HttpRequest&& request) {
+  impl_->OnRequest(exchange, std::move(request));
+}
+
+void RequestPipeline::OnAbandoned(ExchangeId exchange) {
+  impl_->OnAbandoned(exchange);
+}
+
+std::size_t RequestPipeline::running() const { return impl_->entries.size(); }
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/request_pipeline.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+#include "data_state.h"
+#include "http_front.h"
+#include "http_types.h"
+#include "outgoing_calls.h"
+#include "rate_waits.h"
+
+namespace lentilcross {
+
+/// Path of a request of a caller: route, key, ticket, rate, entry gate, target.
+/// Runs on the thread `data`.
+class RequestPipeline {
+ public:
+  using ExchangeId = HttpFront::ExchangeId;
+  using Respond = std::function<void(ExchangeId, HttpResponse)>;
+
+  RequestPipeline(DataState& state, OutgoingCalls& outgoing, RateWaits& waits,
+                  Respond respond);
+  ~RequestPipeline();
+
+  void OnRequest(ExchangeId exchange, HttpRequest&& request);
+  /// The caller is gone: cancels down the chain.
+  void OnAbandoned(ExchangeId exchange);
+
+  std::size_t running() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/request_rules.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http_types.h"
+#include "lentilcross/configuration.h"
+#include "lentilcross/peer_message.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+/// Path of the endpoint that issues tickets.
+inline constexpr std::string_view kTicketPath = "/.lentilcross/ticket";
+
+/// Time that a request may take: its header, at most the timeout of the route.
+/// Empty if the header is malformed.
+std::optional<Duration> TimeoutOf(const HttpRequest& request,
+                                  const RouteEntry& route);
+
+/// Number of tickets that a request asks for, 1 by default. Empty if it is
+/// malformed or out of range.
+std::optional<int> TicketCountOf(const HttpRequest& request);
+
+/// Body of the response of the ticket endpoint.
+HttpResponse MakeTicketResponse(const std::vector<std::string>& tickets,
+                                Duration lifetime);
+
+/// Removes what only this daemon may see or set: the key, the context headers
+/// and the timeout.
+void RemoveOwnHeaders(Headers& headers);
+
+/// Response for the caller: the answer of the target, or a problem.
+HttpResponse ToHttpResponse(Reply&& reply);
+
+/// Adds up to its own length, at least 2 s, to a time to come back, so that
+/// refused callers do not come back together.
+Duration AddJitter(Duration retry_after, Random& random);
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/retry_policy.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "lentilcross/error.h"
+#include "lentilcross/peer_message.h"
+#include "lentilcross/routing.h"
+
+namespace lentilcross {
+
+/// What the attempts of one request have proved so far.
+class AttemptHistory {
+ public:
+  void Record(const Reply& reply);
+  void AddRetry() { ++retries_; }
+
+  /// True if there were attempts and each of them was refused as overloaded.
+  bool only_overloaded() const { return attempts_ > 0 && only_overloaded_; }
+  /// Corrects the last refusal by what earlier attempts left unproven.
+  void Judge(Refusal& refusal) const;
+
+ private:
+  int attempts_ = 0;
+  int retries_ = 0;
+  bool only_overloaded_ = true;
+  bool proven_not_run_ = true;
+};
+
+/// True if another attempt may be made after this reply, as far as the reply
+/// decides it.
+bool IsRetryable(const Reply& reply, bool idempotent);
+
+/// What the router learns from a reply. `abort_reason` is not `kNone` if this
+/// daemon ended the attempt itself.
+Router::Observation ObservationOf(const Reply& reply, Reason abort_reason);
+
+/// True if status and headers of an answer can be passed on.
+bool IsWellFormed(const Reply& reply);
+
+}  // namespace lentilcross
--- /dev/null
+++ b/src/target_calls.cpp
@@ -0,0 +1,493 @@
+#include "target_calls.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+#include <utility>
+
+#include "call_replies.h"
+#include "lentilcross/config.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::steady_clock;
+using Sample = ConcurrencyLimit::Sample;
+using CallKey = DispatchFence::CallKey;
+
+/// The bounds of section 6.6: a queue holds a call only for a few milliseconds.
+constexpr Duration kQueueTick = std::chrono::milliseconds(5);
+
+struct Target {
+  LocalTarget settings;
+  ServiceId service;
+  std::unique_ptr<TargetAdmission> admission;
+};
+
+struct Running {
+  Running(boost::asio::io_context& io, Call&& incoming)
+      : call(std::move(incoming)), timer(io) {}
+
+  std::uint64_t number = 0;
+  CallKey key;
+  Call call;
+  TargetCalls::Options options;
+  TargetCalls::ReplyHandler done;
+  Instant deadline{};
+  boost::asio::steady_timer timer;
+  std::size_t target = SIZE_MAX;
+  bool started = false;  ///< Left the queue.
+  std::string token;
+  TargetClient::Handle http = 0;
+  std::vector<ServiceLevel> levels;
+  bool exhausted = false;
+};
+
+using RunningPtr = std::shared_ptr<Running>;
+
+struct CallKeyHash {
+  std::size_t operator()(const CallKey& key) const noexcept {
+    return CombineHash(key.origin.value(), key.number.value());
+  }
+};
+
+HttpRequest ToTargetRequest(const Running& running,
+                            const Configuration* configuration, Instant now) {
+  const Call& call = running.call;
+  HttpRequest request{call.method, call.path, call.headers, call.body};
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+      running.deadline - now);
+  std::string organisation(kPublicOrganisation);
+  if (configuration != nullptr) {
+    const auto it =
+        configuration->organisations.find(call.context.organisation);
+    if (it != configuration->organisations.end()) {
+      organisation = it->second.name;
+    }
+  }
+  request.headers.emplace_back(header::kContext, running.token);
+  request.headers.emplace_back(
+      header::kTimeout,
+      std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+  request.headers.emplace_back(header::kOrganisation, organisation);
+  request.headers.emplace_back(header::kImportance,
+                               ToString(call.context.importance));
+  return request;
+}
+
+Sample SampleOf(std::uint16_t status) {
+  if (status == 503 || status == 429) return Sample::kRefused;
+  return status >= 500 ? Sample::kFailed : Sample::kOk;
+}
+
+}  // namespace
+
+struct TargetCalls::Impl : std::enable_shared_from_this<Impl> {
+  Impl(boost::asio::io_context& context, DataState& data_state,
+       TargetClient& target_client)
+      : io(context),
+        state(data_state),
+        client(target_client),
+        queue_timer(context) {}
+
+  // ----- Arrival
+
+  bool Accept(Incarnation origin, Call&& call, const Options& options,
+              ReplyHandler done) {
+    const Instant now = steady_clock::now();
+    const CallKey key{origin, call.number};
+    const Instant deadline = now + call.remaining;
+    switch (state.fence.OnCall(key, deadline, now)) {
+      case DispatchFence::Received::kDuplicate:
+        return false;
+      case DispatchFence::Received::kFenced:
+        done(NotRun(call, Reason::kDeadlineExceeded, "cancelled before"));
+        return true;
+      case DispatchFence::Received::kFull:
+        done(NotRun(call, Reason::kOverloaded, "too many calls remembered"));
+        return true;
+      case DispatchFence::Received::kNew:
+        break;
+    }
+    auto running = std::make_shared<Running>(io, std::move(call));
+    running->number = ++last_number;
+    running->key = key;
+    running->options = options;
+    running->done = std::move(done);
+    running->deadline = deadline;
+    Admit(running, now);
+    return true;
+  }
+
+  void Admit(const RunningPtr& running, Instant now) {
+    by_number[running->number] = running;
+    by_key[running->key] = running;
+    const Call& call = running->call;
+    if (call.context.depth > LENTILCROSS_CONFIG_MAX_DEPTH ||
+        !IsWritable(HttpRequest{call.method, call.path, call.headers, {}})) {
+      Refuse(running, Reason::kBadRequest, "malformed call", {});
+      return;
+    }
+    if (state.draining && !running->options.local) {
+      Refuse(running, Reason::kDraining, "daemon is draining", {});
+      return;
+    }
+    if (running->deadline <= now) {
+      Refuse(running, Reason::kDeadlineExceeded, "no time left", {});
+      return;
+    }
+    const std::size_t target = LeastLoaded(call.service);
+    if (target == targets.size()) {
+      Refuse(running, Reason::kNoTarget, "no target of the service here", {});
+      return;
+    }
+    running->target = target;
+    StartDeadline(running);
+    Apply(target, targets[target].admission->Offer(EntryOf(*running), now));
+    StartQueueTimer();
+  }
+
+  std::size_t LeastLoaded(ServiceId service) const {
+    std::size_t best = targets.size();
+    double best_load = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      if (targets[i].service != service) continue;
+      const TargetAdmission& admission = *targets[i].admission;
+      const double waiting =
+          admission.in_flight() + static_cast<double>(admission.queued());
+      const double load = waiting / std::max(admission.limit(), 1);
+      if (best == targets.size() || load < best_load) {
+        best = i;
+        best_load = load;
+      }
+    }
+    return best;
+  }
+
+  TargetAdmission::Entry EntryOf(const Running& running) const {
+    const RequestContext& context = running.call.context;
+    TargetAdmission::Entry entry;
+    entry.number = running.number;
+    entry.request = context.id;
+    entry.organisation = context.organisation;
+    entry.importance = context.importance;
+    entry.deadline = running.deadline;
+    if (state.configuration) {
+      const auto& organisations = state.configuration->organisations;
+      const auto it = organisations.find(context.organisation);
+      if (it != organisations.end()) entry.weight = it->second.weight;
+    }
+    return entry;
+  }
+
+  // ----- Admission
+
+  void Apply(std::size_t target, const TargetAdmission::Actions& actions) {
+    for (const auto& refused : actions.refuse) {
+      const auto it = by_number.find(refused.number);
+      if (it == by_number.end()) continue;
+      const RunningPtr running = it->second;
+      Refuse(running, refused.reason, "refused by the admission of the target",
+             refused.retry_after);
+    }
+    for (const std::uint64_t number : actions.start) {
+      const auto it = by_number.find(number);
+      if (it == by_number.end()) {
+        EndAdmission(target, number, Sample::kRefused);
+        continue;
+      }
+      const RunningPtr running = it->second;
+      running->started = true;
+      Start(running);
+    }
+  }
+
+  void EndAdmission(std::size_t target, std::uint64_t number, Sample sample) {
+    Apply(target, targets[target].admission->Finish(number, sample,
+                                                    steady_clock::now()));
+  }
+
+  void StartQueueTimer() {
+    if (queue_timer_runs || !HasQueue()) return;
+    queue_timer_runs = true;
+    queue_timer.expires_after(kQueueTick);
+    queue_timer.async_wait(
+        [weak = weak_from_this()](boost::system::error_code error) {
+          auto self = weak.lock();
+          if (error || !self) return;
+          self->queue_timer_runs = false;
+          const Instant now = steady_clock::now();
+          for (std::size_t i = 0; i < self->targets.size(); ++i) {
+            self->Apply(i, self->targets[i].admission->Tick(now));
+          }
+          self->StartQueueTimer();
+        });
+  }
+
+  bool HasQueue() const {
+    return std::any_of(targets.begin(), targets.end(), [](const Target& t) {
+      return t.admission->queued() > 0;
+    });
+  }
+
+  // ----- Running
+
+  void Start(const RunningPtr& running) {
+    const auto& key = running->options.key;
+    if (key && !state.keys.IsGood(*key)) {
+      Refuse(running, Reason::kWithdrawnKey, "key withdrawn while queued", {});
+      return;
+    }
+    ContextTokens::Entry entry;
+    entry.context = running->call.context;
+    entry.deadline = running->deadline;
+    entry.allowance = AttemptAllowance(running->call.extra_attempts);
+    running->token = state.tokens.Issue(entry);
+    if (running->token.empty()) {
+      Refuse(running, Reason::kOverloaded, "too many context tokens", {});
+      return;
+    }
+    by_token[running->token] = running;
+    const HttpRequest request = ToTargetRequest(
+        *running, state.configuration.get(), steady_clock::now());
+    running->http = client.Start(
+        targets[running->target].settings.address, request,
+        [this, key = running->key] {
+          return state.fence.BeginWrite(key, steady_clock::now());
+        },
+        [weak = weak_from_this(), running](TargetClient::Result&& result) {
+          if (auto self = weak.lock()) {
+            self->OnResult(running, std::move(result));
+          }
+        });
+  }
+
+  void OnResult(const RunningPtr& running, TargetClient::Result&& result) {
+    running->http = 0;
+    switch (result.failure) {
+      case TargetClient::Failure::kNone:
+        OnAnswer(running, std::move(result.response));
+        return;
+      case TargetClient::Failure::kNotAllowed:
+        Refuse(running, Reason::kDeadlineExceeded, "deadline before the write",
+               {});
+        return;
+      case TargetClient::Failure::kPoolFull:
+        Refuse(running, Reason::kOverloaded, result.detail, {});
+        return;
+      case TargetClient::Failure::kUnsent:
+        state.fence.WriteFailedUnsent(running->key);
+        Refuse(running, Reason::kNoTarget, result.detail, {}, Sample::kFailed);
+        return;
+      case TargetClient::Failure::kSent:
+        state.fence.OnAnswered(running->key, steady_clock::now());
+        Finish(running,
+               Unknown(running->call, Reason::kTargetFailed, result.detail),
+               Sample::kFailed);
+        return;
+    }
+  }
+
+  void OnAnswer(const RunningPtr& running, HttpResponse response) {
+    state.fence.OnAnswered(running->key, steady_clock::now());
+    Reply reply;
+    reply.number = running->call.number;
+    reply.status = static_cast<std::uint16_t>(response.status);
+    reply.headers = std::move(response.headers);
+    reply.body = std::move(response.body);
+    const Sample sample = SampleOf(reply.status);
+    Finish(running, std::move(reply), sample);
+  }
+
+  /// Ends a call that was not written and, by the fence, never will be.
+  void Refuse(const RunningPtr& running, Reason reason,
+              const std::string& detail, Duration retry_after,
+              Sample sample = Sample::kRefused) {
+    state.fence.OnCancel(running->key, steady_clock::now());
+    Reply reply = NotRun(running->call, reason, detail);
+    reply.refusal.retry_after = retry_after;
+    Finish(running, std::move(reply), sample);
+  }
+
+  void Finish(const RunningPtr& running, Reply reply, Sample sample) {
+    if (!running->done) return;
+    ReplyHandler done = std::exchange(running->done, nullptr);
+    Complete(running, reply);
+    Remove(running, sample);
+    done(std::move(reply));
+  }
+
+  /// Adds the unused attempts and the levels to a reply.
+  void Complete(const RunningPtr& running, Reply& reply) {
+    reply.extra_attempts_left = running->call.extra_attempts;
+    if (const auto* entry = state.tokens.Find(running->token)) {
+      reply.extra_attempts_left = entry->allowance.extra_attempts();
+    }
+    reply.attempts_exhausted = running->exhausted;
+    reply.levels = running->levels;
+    if (running->target >= targets.size()) return;
+    const Target& target = targets[running->target];
+    if (target.service != running->call.service) return;
+    const std::uint32_t level = target.admission->level(
+        running->call.context.organisation, steady_clock::now());
+    reply.levels.push_back({target.service, level});
+  }
+
+  void Remove(const RunningPtr& running, Sample sample) {
+    running->timer.cancel();
+    by_number.erase(running->number);
+    by_key.erase(running->key);
+    if (!running->token.empty()) {
+      state.tokens.Revoke(running->token);
+      by_token.erase(running->token);
+      if (token_ended) token_ended(running->token);
+    }
+    if (running->started) {
+      EndAdmission(running->target, running->number, sample);
+    }
+  }
+
+  // ----- Deadline and cancellation
+
+  void StartDeadline(const RunningPtr& running) {
+    running->timer.expires_at(running->deadline);
+    running->timer.async_wait(
+        [weak = weak_from_this(), running](boost::system::error_code error) {
+          auto self = weak.lock();
+          if (error || !self || !running->done) return;
+          self->OnDeadline(running);
+        });
+  }
+
+  void OnDeadline(const RunningPtr& running) {
+    const bool never_run = Stop(running);
+    Reply reply = never_run
+                      ? NotRun(running->call, Reason::kDeadlineExceeded,
+                               "deadline passed before the call was written")
+                      : Unknown(running->call, Reason::kDeadlineExceeded,
+                                "deadline passed while the target worked");
+    Finish(running, std::move(reply), Sample::kTimedOut);
+  }
+
+  /// Takes the call out of the queue or closes its connection. True if it never
+  /// ran.
+  bool Stop(const RunningPtr& running) {
+    const auto result = state.fence.OnCancel(running->key, steady_clock::now());
+    if (!running->started && running->target < targets.size()) {
+      targets[running->target].admission->Cancel(running->number);
+    }
+    if (running->http != 0) {
+      client.Cancel(running->http);
+      running->http = 0;
+    }
+    if (result == DispatchFence::CancelResult::kNeverRun) return true;
+    state.fence.OnAnswered(running->key, steady_clock::now());
+    return false;
+  }
+
+  bool Cancel(const CallKey& key) {
+    const auto it = by_key.find(key);
+    if (it == by_key.end()) {
+      return state.fence.OnCancel(key, steady_clock::now()) ==
+             DispatchFence::CancelResult::kNeverRun;
+    }
+    const RunningPtr running = it->second;
+    running->done = nullptr;
+    const bool never_run = Stop(running);
+    // A cancelled call says nothing about the target's latency.
+    Remove(running, never_run ? Sample::kRefused : Sample::kTimedOut);
+    return never_run;
+  }
+
+  boost::asio::io_context& io;
+  DataState& state;
+  TargetClient& client;
+  std::vector<Target> targets;
+  boost::asio::steady_timer queue_timer;
+  bool queue_timer_runs = false;
+  std::uint64_t last_number = 0;
+  std::function<void(const std::string&)> token_ended;
+  std::unordered_map<std::uint64_t, RunningPtr> by_number;
+  std::unordered_map<CallKey, RunningPtr, CallKeyHash> by_key;
+  std::unordered_map<std::string, RunningPtr> by_token;
+};
+
+TargetCalls::TargetCalls(boost::asio::io_context& io, DataState& state,
+                         TargetClient& client,
+                         const std::vector<LocalTarget>& targets)
+    : impl_(std::make_shared<Impl>(io, state, client)) {
+  for (const LocalTarget& settings : targets) {
+    Target target;
+    target.settings = settings;
+    target.service = ServiceId::FromName(settings.service);
+    target.admission =
+        std::make_unique<TargetAdmission>(TargetAdmission::Init{});
+    impl_->targets.push_back(std::move(target));
+  }
+}
+
+TargetCalls::~TargetCalls() = default;
+
+bool TargetCalls::Accept(Incarnation origin, Call call, const Options& options,
+                         ReplyHandler done) {
+  return impl_->Accept(origin, std::move(call), options, std::move(done));
+}
+
+bool TargetCalls::Cancel(Incarnation origin, CallNumber number) {
+  return impl_->Cancel({origin, number});
+}
+
+void TargetCalls::NoteOnward(std::string_view token,
+                             const std::vector<ServiceLevel>& levels,
+                             bool exhausted) {
+  const auto it = impl_->by_token.find(std::string(token));
+  if (it == impl_->by_token.end()) return;
+  MergeLevels(it->second->levels, levels);
+  it->second->exhausted = it->second->exhausted || exhausted;
+}
+
+void TargetCalls::SetTokenEnded(
+    std::function<void(const std::string& token)> hook) {
+  impl_->token_ended = std::move(hook);
+}
+
+void TargetCalls::SetLongestQueue(Duration longest_queue) {
+  for (const Target& target : impl_->targets) {
+    target.admission->SetLongestQueue(longest_queue);
+  }
+}
+
+void TargetCalls::AbortAll() {
+  std::vector<RunningPtr> all;
+  for (const auto& [number, running] : impl_->by_number) all.push_back(running);
+  for (const RunningPtr& running : all) {
+    if (!running->done) continue;
+    const bool never_run = impl_->Stop(running);
+    Reply reply = never_run ? NotRun(running->call, Reason::kDraining,
+                                     "daemon stops before the call was written")
+                            : Unknown(running->call, Reason::kTargetFailed,
+                                      "daemon stops while the target worked");
+    impl_->Finish(running, std::move(reply), Sample::kTimedOut);
+  }
+}
+
+std::size_t TargetCalls::running() const { return impl_->by_number.size(); }
+
+std::vector<TargetStatus> TargetCalls::Status() const {
+  std::vector<TargetStatus> list;
+  const Instant now = steady_clock::now();
+  for (const Target& target : impl_->targets) {
+    TargetStatus status;
+    status.name = target.settings.name;
+    status.service = target.settings.service;
+    status.limit = target.admission->limit();
+    status.in_flight = target.admission->in_flight();
+    status.queued = target.admission->queued();
+    status.level = target.admission->level(OrganisationId(), now);
+    status.admission = target.admission->stats();
+    list.push_back(std::move(status));
+  }
+  return list;
+}
+
+}  // namespace lentilcross
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -29,7 +29,7 @@
 std::string Serialize(const HttpRequest& request, const Endpoint& address) {
   std::string text;
   text.reserve(512 + request.body.size());
-  text.append(request.method).append(" ").append(request.path);
+  text.append(request.method).append(" ").append(request.target);
   text.append(" HTTP/1.1\r\nHost: ").append(address.ip).append(":");
   text.append(std::to_string(address.port)).append("\r\n");
   for (const auto& [name, value] : request.headers) {
@@ -48,7 +48,7 @@
 HttpResponse ToResponse(Parser& parser) {
   auto message = parser.release();
   HttpResponse response;
-  response.status = static_cast<std::uint16_t>(message.result_int());
+  response.status = static_cast<int>(message.result_int());
   for (const auto& field : message) {
     response.headers.emplace_back(field.name_string(), field.value());
   }
--- /dev/null
+++ b/src/ticket_calls.cpp
@@ -0,0 +1,94 @@
+#include "ticket_calls.h"
+
+#include <string>
+#include <utility>
+
+#include "call_replies.h"
+#include "http_types.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::steady_clock;
+
+Outcome OutcomeOf(Reason reason) {
+  const bool not_run =
+      reason == Reason::kTicketInvalid || reason == Reason::kOverloaded;
+  return not_run ? Outcome::kNotRun : Outcome::kUnknown;
+}
+
+OutgoingRequest ToOutgoing(Call&& call, Instant now) {
+  OutgoingRequest out;
+  out.context = call.context;
+  out.route = call.route;
+  out.service = call.service;
+  out.request.method = std::move(call.method);
+  out.request.target = std::move(call.path);
+  out.request.headers = std::move(call.headers);
+  out.request.body = std::move(call.body);
+  out.deadline = now + call.remaining;
+  out.idempotent = false;
+  out.extra_attempts = call.extra_attempts;
+  return out;
+}
+
+}  // namespace
+
+Reply ReplyToUse(const TicketBook::Use& use) {
+  Reply reply;
+  if (use.reason == Reason::kAlreadyRun && use.answer) {
+    reply.status = use.answer->status;
+    reply.body = use.answer->body;
+    if (!use.answer->content_type.empty()) {
+      reply.headers.emplace_back(header::kContentType,
+                                 use.answer->content_type);
+    }
+    return reply;
+  }
+  reply.refusal = MakeRefusal(use.reason, OutcomeOf(use.reason),
+                              "the ticket cannot be used now");
+  return reply;
+}
+
+void FinishTicket(TicketBook& tickets, std::uint64_t serial,
+                  const Reply& reply) {
+  if (IsNotRun(reply)) {
+    tickets.Free(serial);
+    return;
+  }
+  if (!IsAnswer(reply)) {
+    tickets.FinishUnknown(serial);
+    return;
+  }
+  TicketBook::Answer answer;
+  answer.status = reply.status;
+  answer.content_type = FindHeader(reply.headers, header::kContentType);
+  answer.body = reply.body;
+  tickets.Finish(serial, std::move(answer));
+}
+
+PeerCalls::Stop TicketCalls::OnCall(const PeerLinks::Peer&, Call&& call,
+                                    PeerCalls::ReplyHandler done) {
+  const Instant now = steady_clock::now();
+  const std::string ticket(FindHeader(call.headers, header::kIdempotencyKey));
+  const TicketBook::Use use =
+      state_.tickets.Claim(ticket, call.context.organisation, call.route, now);
+  if (use.reason != Reason::kNone) {
+    done(ReplyToUse(use));
+    return nullptr;
+  }
+  if (state_.draining) {
+    state_.tickets.Free(use.serial);
+    done(NotRun(call, Reason::kDraining, "daemon is draining"));
+    return nullptr;
+  }
+  const auto handle = outgoing_.Start(
+      ToOutgoing(std::move(call), now),
+      [this, serial = use.serial, done = std::move(done)](Reply&& reply) {
+        FinishTicket(state_.tickets, serial, reply);
+        done(std::move(reply));
+      });
+  return [this, handle] { outgoing_.Abort(handle, Reason::kDeadlineExceeded); };
+}
+
+}  // namespace lentilcross
