--- a/src/cbor.cpp
+++ b/src/cbor.cpp
@@ -30,7 +30,7 @@
   bool string(std::string& value) { return Count() && Base::string(value); }
   bool binary(Json::binary_t& value) { return Count() && Base::binary(value); }
   bool start_object(std::size_t size) {
-    return Enter(size) && Base::start_object(size);
+    return limits_.objects && Enter(size) && Base::start_object(size);
   }
   bool key(std::string& value) { return Count() && Base::key(value); }
   bool end_object() {
--- a/src/cbor.h
+++ b/src/cbor.h
@@ -12,6 +12,7 @@
   /// Values of all kinds in the whole input. Each takes 16 bytes and more in
   /// memory, but may be a single byte of input.
   std::size_t values = 16384;
+  bool objects = true;  ///< False: an object is malformed input.
 };
 
 /// Parses CBOR of an untrusted sender. Empty for malformed input, and as soon
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <unordered_set>
@@ -34,6 +35,23 @@
   return position;
 }
 
+/// Offset of the first byte of the last token, which ends before `end`. The
+/// lexer reports in `token` all bytes since the last string or number.
+std::size_t FindTokenStart(std::string_view text, std::size_t end,
+                           std::string_view token) {
+  end = std::min(end, text.size());
+  const bool is_string =
+      token.size() >= 2 && token.front() == '"' && token.back() == '"';
+  if (is_string && token.size() <= end) return end - token.size();
+  std::size_t start = end == 0 ? 0 : end - 1;
+  const auto is_word = [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' ||
+           c == '-' || c == '+';
+  };
+  while (start > 0 && is_word(text[start - 1])) --start;
+  return start;
+}
+
 /// The part of nlohmann's message that says what was expected. The end of the
 /// message quotes the input, which may be a key.
 std::string DescribeSyntaxError(const std::string& message) {
@@ -92,11 +110,10 @@
     return Base::end_array();
   }
   template <typename Exception>
-  bool parse_error(std::size_t offset, const std::string& /*token*/,
+  bool parse_error(std::size_t offset, const std::string& token,
                    const Exception& error) {
-    // The offset counts the characters read so far.
     const auto [line, column] =
-        FindPosition(text_, offset == 0 ? 0 : offset - 1);
+        FindPosition(text_, FindTokenStart(text_, offset, token));
     findings_.Add(std::to_string(line) + ":" + std::to_string(column),
                   DescribeSyntaxError(error.what()));
     return false;
--- a/src/peer_message.cpp
+++ b/src/peer_message.cpp
@@ -192,6 +192,20 @@
 constexpr std::size_t kKindCount = std::variant_size_v<PeerMessage>;
 constexpr std::size_t kFirstField = 2;  // after version and kind
 
+// The longest list, 1,024 loans, has 6,144 values. A value is at least two
+// bytes of input on average, except in short messages.
+constexpr std::size_t kMaxValues = 8192;
+constexpr std::size_t kFreeValues = 1024;
+constexpr std::size_t kMaxDepth = 6;
+
+CborLimits LimitsFor(std::size_t size) {
+  CborLimits limits;
+  limits.depth = kMaxDepth;
+  limits.values = std::min(kMaxValues, kFreeValues + size / 2);
+  limits.objects = false;
+  return limits;
+}
+
 /// Rules that span several fields.
 std::string CheckTogether(const PeerMessage& message) {
   if (const auto* delta = std::get_if<ConfigDelta>(&message)) {
@@ -262,7 +276,7 @@
   if (bytes.size() > kMaxMessageSize) {
     return boost::leaf::new_error(DecodeError{"message too large"});
   }
-  auto array = ParseCbor(bytes, CborLimits{});
+  auto array = ParseCbor(bytes, LimitsFor(bytes.size()));
   if (!array) return boost::leaf::new_error(DecodeError{"malformed CBOR"});
   std::string error;
   PeerMessage message = DecodeArray(*array, error);
--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -44,12 +44,20 @@
   }
 };
 
+template <>
+struct Schema<RequestId> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Integer(m.high);
+    v.Integer(m.low);
+  }
+};
+
 template <>
 struct Schema<RequestContext> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
-    v.Integer(m.id.high);
-    v.Integer(m.id.low);
+    v.Record(m.id);
     // Open routes belong to organisation 0.
     v.Identifier(m.organisation, IdRule::kMayBeInvalid);
     v.Enumerator(m.importance, kImportanceCount);
--- /dev/null
+++ b/tests/keys_test.cpp
@@ -0,0 +1,120 @@
+#include "lentilcross/keys.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace lentilcross {
+namespace {
+
+std::string Hex(const Sha256Digest& digest) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string hex;
+  for (const std::uint8_t byte : digest) {
+    hex += kDigits[byte / 16];
+    hex += kDigits[byte % 16];
+  }
+  return hex;
+}
+
+Configuration MakeConfiguration(std::uint64_t version) {
+  Configuration configuration;
+  configuration.version = Version(version);
+  return configuration;
+}
+
+void AddKey(Configuration& configuration, const std::string& name,
+            const std::string& organisation, std::string_view key,
+            bool withdrawn = false) {
+  KeyEntry entry;
+  entry.id = KeyId::FromName(name);
+  entry.name = name;
+  entry.organisation = OrganisationId::FromName(organisation);
+  entry.sha256 = Sha256(key);
+  entry.withdrawn = withdrawn;
+  configuration.keys[entry.id] = entry;
+}
+
+}  // namespace
+
+// Guards against a digest that does not match what operators compute with
+// common tools. Vectors: FIPS 180-2 "abc", RFC 4231 test case 2.
+BOOST_AUTO_TEST_CASE(digests_match_published_vectors) {
+  BOOST_TEST(
+      Hex(Sha256("abc")) ==
+      "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  BOOST_TEST(
+      Hex(HmacSha256("Jefe", "what do ya want for nothing?")) ==
+      "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+  BOOST_TEST(
+      Hex(HmacSha256("", "")) ==
+      "b613679a0814d9ec772f95d778c35fc5ff1697c493715653c6c712144292c5ad");
+}
+
+// Guards against a comparison that looks at a part of the digest only.
+BOOST_AUTO_TEST_CASE(comparison_covers_every_byte) {
+  const Sha256Digest digest = Sha256("key");
+  BOOST_TEST(EqualConstantTime(digest, digest));
+  for (std::size_t i = 0; i < digest.size(); ++i) {
+    Sha256Digest other = digest;
+    other[i] ^= 1;
+    BOOST_TEST(!EqualConstantTime(digest, other));
+  }
+}
+
+// Guards against a request that runs for another organisation than the one
+// whose key was sent.
+BOOST_AUTO_TEST_CASE(key_finds_its_organisation) {
+  Configuration configuration = MakeConfiguration(1);
+  AddKey(configuration, "a", "coopers", "key-a");
+  AddKey(configuration, "b", "redriver", "key-b");
+  AddKey(configuration, "c", "redriver", "key-c", /*withdrawn=*/true);
+  KeyRing ring;
+  ring.Apply(configuration);
+  const auto found = ring.Find("key-b");
+  BOOST_TEST((found.reason == Reason::kNone));
+  BOOST_TEST((found.organisation == OrganisationId::FromName("redriver")));
+  BOOST_TEST(ring.IsGood(found));
+  BOOST_TEST((ring.Find("key-x").reason == Reason::kUnknownKey));
+  BOOST_TEST((ring.Find("").reason == Reason::kMissingKey));
+  BOOST_TEST((ring.Find("key-c").reason == Reason::kWithdrawnKey));
+  BOOST_TEST(!ring.IsGood(ring.Find("key-c")));
+  BOOST_TEST(!ring.IsGood(KeyRing::Lookup{}));
+}
+
+// Guards against a key that keeps working on an open connection or in a queue
+// after it was withdrawn, removed, replaced or moved.
+BOOST_AUTO_TEST_CASE(keys_stop_working_with_a_higher_version) {
+  Configuration first = MakeConfiguration(1);
+  for (const char* name : {"kept", "withdrawn", "removed", "moved", "rolled"}) {
+    AddKey(first, name, "coopers", name);
+  }
+  KeyRing ring;
+  ring.Apply(first);
+  const auto kept = ring.Find("kept");
+  const auto withdrawn = ring.Find("withdrawn");
+  const auto removed = ring.Find("removed");
+  const auto moved = ring.Find("moved");
+  const auto rolled = ring.Find("rolled");
+
+  Configuration second = MakeConfiguration(2);
+  AddKey(second, "kept", "coopers", "kept");
+  AddKey(second, "withdrawn", "coopers", "withdrawn", /*withdrawn=*/true);
+  AddKey(second, "moved", "redriver", "moved");
+  AddKey(second, "rolled", "coopers", "new key");
+  ring.Apply(second);
+  BOOST_TEST(ring.IsGood(kept));
+  BOOST_TEST(!ring.IsGood(withdrawn));
+  BOOST_TEST(!ring.IsGood(removed));
+  BOOST_TEST(!ring.IsGood(moved));
+  BOOST_TEST(!ring.IsGood(rolled));
+  BOOST_TEST((ring.Find("removed").reason == Reason::kUnknownKey));
+  BOOST_TEST((ring.Find("rolled").reason == Reason::kUnknownKey));
+  BOOST_TEST((ring.Find("new key").reason == Reason::kNone));
+
+  // A late older version brings nothing back.
+  ring.Apply(first);
+  BOOST_TEST(!ring.IsGood(withdrawn));
+  BOOST_TEST((ring.Find("removed").reason == Reason::kUnknownKey));
+}
+
+}  // namespace lentilcross
