--- a/src/daemon_stats.h
+++ b/src/daemon_stats.h
@@ -78,6 +78,16 @@
   std::uint64_t to_data_full = 0;
 };
 
+/// Latency of one kind of operation, in seconds; see `LatencySummary`.
+struct LatencyStats {
+  std::uint64_t count = 0;
+  double sum_s = 0;
+  double max_s = 0;
+  double p50_s = 0;
+  double p90_s = 0;
+  double p99_s = 0;
+};
+
 struct MemberStatus {
   std::string host;
   std::string state;  ///< alive, suspected, leaving, left, unknown
@@ -126,6 +136,8 @@
   PipelineStats pipeline;
   PlatformClientStats platform;
   RingStats rings;
+  LatencyStats request_latency;  ///< Callers' requests, arrival to answer.
+  LatencyStats target_latency;   ///< Own targets, write to answer.
 };
 
 }  // namespace lentilcross
