--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -215,6 +215,10 @@
   static void Visit(V& v, M& m) {
     v.Identifier(m.organisation, IdRule::kRequired);
     v.Record(m.want);
+    v.Record(m.held);
+    v.Quantity(m.need);
+    v.Quantity(m.returned);
+    v.Integer(m.grant);
   }
 };
 
@@ -222,6 +226,7 @@
 struct Schema<LoanRequest> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
     v.List(m.asks, kMaxListSize);
   }
@@ -234,6 +239,8 @@
     v.Identifier(m.organisation, IdRule::kRequired);
     v.Record(m.quota);
     v.Quantity(m.tokens);
+    v.Time(m.term);
+    v.Integer(m.part);
   }
 };
 
@@ -241,8 +248,8 @@
 struct Schema<LoanGrant> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
-    v.Time(m.term);
     v.List(m.loans, kMaxListSize);
   }
 };
@@ -251,8 +258,9 @@
 struct Schema<LoanReturn> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
-    v.List(m.loans, kMaxListSize);
+    v.List(m.asks, kMaxListSize);
   }
 };
 
