Test membership

Cause: a left process must not come back through stale gossip. Change: tests for incarnations, refutation, bounds, and two properties over random gossip and events.

--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,258 @@
+#include "lentilcross/membership.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "lentilcross/config.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart = Instant{} + std::chrono::hours(1);
+const HostId kSelf(1);
+const HostId kPeer(2);
+const Incarnation kFirst(11);
+const Incarnation kSecond(12);
+const Incarnation kThird(13);
+
+Membership MakeMembership() {
+  Membership::Init init;
+  init.self = kSelf;
+  init.incarnation = Incarnation(10);
+  return Membership(init);
+}
+
+bool IsFinal(MemberState state) {
+  return state == MemberState::kLeaving || state == MemberState::kLeft;
+}
+
+}  // namespace
+
+// Guards against work for a host that leaves or left, after late gossip that
+// calls the same process alive with any sequence.
+BOOST_AUTO_TEST_CASE(a_leaving_process_does_not_come_back) {
+  auto membership = MakeMembership();
+  membership.OnHello(kPeer, kFirst, kStart);
+  BOOST_TEST(membership.IsUsable(kPeer));
+  membership.OnLeave(kPeer, kFirst, kStart);
+  BOOST_TEST(!membership.IsUsable(kPeer));
+  membership.OnUpdates({{kPeer, kFirst, MemberState::kAlive, 1000}}, kStart);
+  membership.OnHeard(kPeer, kStart);
+  membership.OnHello(kPeer, kFirst, kStart);
+  BOOST_TEST(!membership.IsUsable(kPeer));
+  membership.OnLinkDead(kPeer, kStart);
+  BOOST_TEST((membership.Find(kPeer)->state == MemberState::kLeft));
+}
+
+// Guards against stale gossip about an older process that brings a left host
+// back, and against a restarted host that is never found again.
+BOOST_AUTO_TEST_CASE(only_a_hello_replaces_an_incarnation) {
+  auto membership = MakeMembership();
+  membership.OnHello(kPeer, kFirst, kStart);
+  BOOST_TEST(membership.OnHello(kPeer, kSecond, kStart));
+  membership.OnLeave(kPeer, kSecond, kStart);
+  membership.OnUpdates({{kPeer, kFirst, MemberState::kAlive, 99}}, kStart);
+  BOOST_TEST(!membership.IsUsable(kPeer));
+  BOOST_TEST(!membership.ShouldProbe(kPeer, kStart));
+
+  // News of an unknown process is a reason to open a link, no more.
+  membership.OnUpdates({{kPeer, kThird, MemberState::kAlive, 0}}, kStart);
+  BOOST_TEST(!membership.IsUsable(kPeer));
+  BOOST_TEST(membership.ShouldProbe(kPeer, kStart));
+  BOOST_TEST(!membership.ShouldProbe(kPeer, kStart + seconds(1)));
+  BOOST_TEST(membership.ShouldProbe(kPeer, kStart + seconds(4)));
+  BOOST_TEST(membership.OnHello(kPeer, kThird, kStart));
+  BOOST_TEST(membership.IsUsable(kPeer));
+  BOOST_TEST(!membership.ShouldProbe(kPeer, kStart + seconds(9)));
+}
+
+// Guards against a paused process that resumes after its replacement started
+// and takes its name back.
+BOOST_AUTO_TEST_CASE(a_replaced_process_is_refused) {
+  auto membership = MakeMembership();
+  membership.OnHello(kPeer, kFirst, kStart);
+  membership.OnHello(kPeer, kSecond, kStart);
+  BOOST_TEST(!membership.OnHello(kPeer, kFirst, kStart));
+  BOOST_TEST((membership.Find(kPeer)->incarnation == kSecond));
+  BOOST_TEST(!membership.OnHello(kSelf, kFirst, kStart));
+}
+
+// Guards against a host that one partitioned observer takes away from all, and
+// against a dead host that stays usable.
+BOOST_AUTO_TEST_CASE(own_contact_counts_more_than_gossip) {
+  auto membership = MakeMembership();
+  membership.OnHello(kPeer, kFirst, kStart);
+  const MemberUpdate suspicion = {kPeer, kFirst, MemberState::kSuspected, 0};
+  membership.OnUpdates({suspicion}, kStart + seconds(1));
+  BOOST_TEST(membership.IsUsable(kPeer));
+  // The answer has a higher sequence, so that others accept it.
+  BOOST_TEST(membership.NextUpdates().front().sequence == 1);
+
+  auto silent = MakeMembership();
+  silent.OnHello(kPeer, kFirst, kStart);
+  silent.OnUpdates({suspicion}, kStart + seconds(4));
+  BOOST_TEST(!silent.IsUsable(kPeer));
+  BOOST_TEST(silent.ShouldProbe(kPeer, kStart + seconds(4)));
+  silent.OnHeard(kPeer, kStart + seconds(5));
+  BOOST_TEST(silent.IsUsable(kPeer));
+  silent.OnLinkDead(kPeer, kStart + seconds(5));
+  BOOST_TEST(!silent.IsUsable(kPeer));
+}
+
+// Guards against a lagging platform list that takes a new process out.
+BOOST_AUTO_TEST_CASE(platform_list_is_a_hint) {
+  auto membership = MakeMembership();
+  membership.OnHello(kPeer, kFirst, kStart);
+  membership.OnPlatformLeaving(kPeer, kStart + seconds(1));
+  BOOST_TEST(membership.IsUsable(kPeer));
+  membership.OnPlatformLeaving(kPeer, kStart + seconds(4));
+  BOOST_TEST(!membership.IsUsable(kPeer));
+}
+
+// Guards against a live process that stays suspected, and against one that
+// leaves and is made alive by its own refutation.
+BOOST_AUTO_TEST_CASE(a_process_refutes_its_suspicion) {
+  auto membership = MakeMembership();
+  const Incarnation own(10);
+  membership.OnUpdates({{kSelf, own, MemberState::kSuspected, 7}}, kStart);
+  auto updates = membership.NextUpdates();
+  BOOST_REQUIRE(updates.size() == 1);
+  BOOST_TEST((updates.front().state == MemberState::kAlive));
+  BOOST_TEST(updates.front().sequence == 8);
+  membership.Leave(kStart);
+  membership.OnUpdates({{kSelf, own, MemberState::kSuspected, 20}}, kStart);
+  updates = membership.NextUpdates();
+  BOOST_REQUIRE(updates.size() == 1);
+  BOOST_TEST((updates.front().state == MemberState::kLeaving));
+  BOOST_TEST(updates.front().sequence == 21);
+}
+
+// Guards against digests without limit, and news that are never or for ever
+// repeated.
+BOOST_AUTO_TEST_CASE(updates_are_bounded_and_newest_first) {
+  auto membership = MakeMembership();
+  constexpr std::uint64_t kHosts = 100;
+  for (std::uint64_t i = 0; i < kHosts; ++i) {
+    membership.OnHello(HostId(100 + i), kFirst, kStart);
+  }
+  BOOST_TEST((membership.NextUpdates().front().host == HostId(199)));
+  std::map<HostId, int> sent;
+  for (int i = 0; i < 1000; ++i) {
+    const auto updates = membership.NextUpdates();
+    BOOST_TEST(updates.size() <= LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES);
+    for (const auto& update : updates) ++sent[update.host];
+  }
+  BOOST_TEST(sent.size() == kHosts);
+  BOOST_TEST(sent[HostId(100)] == LENTILCROSS_CONFIG_MEMBER_UPDATE_SENDS);
+  BOOST_TEST(membership.NextUpdates().empty());
+}
+
+// Guards against a table that gossip about invented hosts fills without limit,
+// or in which it displaces a host with a link.
+BOOST_AUTO_TEST_CASE(the_table_is_bounded) {
+  auto membership = MakeMembership();
+  membership.OnHello(kPeer, kFirst, kStart);
+  for (std::uint64_t i = 0; i < LENTILCROSS_CONFIG_MAX_MEMBERS + 100; ++i) {
+    membership.OnUpdates({{HostId(1000 + i), kFirst, MemberState::kAlive, 0}},
+                         kStart);
+    if (i % 1000 == 0) membership.NextUpdates();
+  }
+  BOOST_TEST(membership.members().size() == LENTILCROSS_CONFIG_MAX_MEMBERS);
+  BOOST_TEST(membership.stats().table_full == 101);
+  BOOST_TEST(membership.Find(kPeer) != nullptr);
+}
+
+// Guards against tables that differ for ever after the same gossip arrived in
+// another order, or twice.
+BOOST_AUTO_TEST_CASE(gossip_order_does_not_matter) {
+  BOOST_TEST(rc::check(
+      [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& news,
+         std::uint64_t seed) {
+        std::vector<MemberUpdate> updates;
+        for (const auto& [state, sequence] : news) {
+          updates.push_back({kPeer, kFirst, static_cast<MemberState>(state % 4),
+                             sequence % 8U});
+        }
+        auto one = MakeMembership();
+        one.OnUpdates(updates, kStart);
+        Random random(seed);
+        std::shuffle(updates.begin(), updates.end(), random);
+        auto other = MakeMembership();
+        other.OnUpdates(updates, kStart);
+        other.OnUpdates(updates, kStart);
+        if (updates.empty()) return;
+        const auto* a = one.Find(kPeer);
+        const auto* b = other.Find(kPeer);
+        RC_ASSERT(a->state == b->state);
+        RC_ASSERT(IsFinal(a->state) || a->sequence == b->sequence);
+      }));
+}
+
+// Guards against any sequence of events that makes a left process usable, goes
+// back to a replaced one, or changes the incarnation without a Hello.
+BOOST_AUTO_TEST_CASE(random_events_keep_the_rules) {
+  using Event =
+      std::tuple<std::uint8_t, std::uint8_t, std::uint8_t, std::uint8_t>;
+  BOOST_TEST(rc::check([](const std::vector<Event>& events) {
+    auto membership = MakeMembership();
+    Instant now = kStart;
+    std::map<Incarnation, bool> gone;
+    for (const auto& [kind, which, state, sequence] : events) {
+      const Incarnation incarnation(11U + which % 3);
+      const auto* before = membership.Find(kPeer);
+      const Incarnation known = before ? before->incarnation : Incarnation();
+      const std::uint32_t old_sequence = before ? before->sequence : 0;
+      const bool hello = kind % 6 == 0;
+      now += milliseconds(sequence * 20);
+      switch (kind % 6) {
+        case 0:
+          membership.OnHello(kPeer, incarnation, now);
+          break;
+        case 1:
+          membership.OnHeard(kPeer, now);
+          break;
+        case 2:
+          membership.OnLinkDead(kPeer, now);
+          break;
+        case 3:
+          membership.OnLeave(kPeer, incarnation, now);
+          break;
+        case 4:
+          membership.OnPlatformLeaving(kPeer, now);
+          break;
+        default:
+          membership.OnUpdates(
+              {{kPeer, incarnation, static_cast<MemberState>(state % 4),
+                sequence}},
+              now);
+      }
+      const auto* member = membership.Find(kPeer);
+      if (member == nullptr) continue;
+      const bool changed = known.valid() && member->incarnation != known;
+      RC_ASSERT(hello || !changed);
+      if (changed) {
+        // The process that was replaced does not come back right away.
+        RC_ASSERT(!membership.OnHello(kPeer, known, now));
+        gone.clear();
+      } else if (!IsFinal(member->state)) {
+        RC_ASSERT(member->sequence >= old_sequence);
+      }
+      if (gone[member->incarnation]) {
+        RC_ASSERT(IsFinal(member->state));
+        RC_ASSERT(!membership.IsUsable(kPeer));
+      }
+      gone[member->incarnation] = IsFinal(member->state);
+    }
+  }));
+}
+
+}  // namespace lentilcross
