--- a/src/audit.cpp
+++ b/src/audit.cpp
@@ -52,8 +52,10 @@
                                {"rates", RatesOf(record)},
                                {"source", record.source},
                                {"time", FormatTime(record.taken_over)}};
-  lines_.emplace_back(number, line.dump(-1, ' ', false,
-                                       nlohmann::json::error_handler_t::replace) + "\n");
+  lines_.emplace_back(
+      number,
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+          "\n");
   if (lines_.size() > init_.capacity) {
     lines_.pop_front();
     ++stats_.dropped;
--- a/src/command_audit.cpp
+++ b/src/command_audit.cpp
@@ -70,7 +70,8 @@
       options, "lentilcross audit --address 127.0.0.1:7103 --since 3 --follow",
       argc, argv, &status);
   if (!arguments) return status;
-  if (arguments->count("address") == 0) return Unusable("audit needs --address");
+  if (arguments->count("address") == 0)
+    return Unusable("audit needs --address");
   const auto address = (*arguments)["address"].as<std::string>();
   if (!web::ParseTcpEndpoint(address)) {
     return Unusable("--address: not an ip:port: " + address);
--- a/src/command_check.cpp
+++ b/src/command_check.cpp
@@ -62,7 +62,8 @@
       &status);
   if (!arguments) return status;
   if (arguments->count("files") == 0) return Unusable("check needs a FILE");
-  for (const auto& path : (*arguments)["files"].as<std::vector<std::string>>()) {
+  for (const auto& path :
+       (*arguments)["files"].as<std::vector<std::string>>()) {
     const Findings findings = CheckFile(path);
     std::cout << findings.Format(path);
     if (!findings.empty()) status = kExitFindings;
--- a/src/command_daemon.cpp
+++ b/src/command_daemon.cpp
@@ -60,10 +60,9 @@
       LogThread::Create({settings.log.level, settings.log.loggers});
   AuditTrail audit({});
   const LogHook write_log = MakeLogHook(*log);
-  BOOST_LEAF_AUTO(
-      operator_server,
-      OperatorServer::Create({settings.operator_address, &audit,
-                              [&log] { return log->dropped(); }}));
+  BOOST_LEAF_AUTO(operator_server,
+                  OperatorServer::Create({settings.operator_address, &audit,
+                                          [&log] { return log->dropped(); }}));
   settings.daemon.on_log = write_log;
   settings.daemon.on_audit = [&](const AuditRecord& record) {
     audit.Add(record);
--- a/src/command_load.cpp
+++ b/src/command_load.cpp
@@ -135,10 +135,10 @@
       "organisation", "NAME:RATE or NAME:RATE:LIMIT_RATE:LIMIT_BURST",
       cxxopts::value<Strings>())(
       "route", "METHOD:PATH:WEIGHT, with :ticket if it is non-idempotent",
-      cxxopts::value<Strings>())(
-      "keys", "JSON file that maps organisations to keys",
-      cxxopts::value<std::string>())("duration-ms", "how long to send",
-                                     number("10000"))(
+      cxxopts::value<Strings>())("keys",
+                                 "JSON file that maps organisations to keys",
+                                 cxxopts::value<std::string>())(
+      "duration-ms", "how long to send", number("10000"))(
       "timeout-ms", "time limit of a request", number("2000"))(
       "retries", "attempts after the first", number("0"))(
       "retry-delay-ms", "wait before a retry", number("50"))(
@@ -158,8 +158,7 @@
       "report and checks expectations.");
   AddOptions(options);
   int status = kExitSuccess;
-  const auto arguments =
-      ParseArguments(options, kExample, argc, argv, &status);
+  const auto arguments = ParseArguments(options, kExample, argc, argv, &status);
   if (!arguments) return status;
   LoadPlan plan;
   const std::string unusable = ReadPlan(*arguments, &plan);
--- a/src/latency_summary.cpp
+++ b/src/latency_summary.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
@@ -13,11 +13,9 @@
 
 namespace acc = boost::accumulators;
 
-using Accumulator =
-    acc::accumulator_set<double,
-                         acc::stats<acc::tag::count, acc::tag::sum,
-                                    acc::tag::max,
-                                    acc::tag::extended_p_square_quantile>>;
+using Accumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
+                       acc::tag::extended_p_square>>;
 
 // 0.999 is not shown; it keeps the estimate of the 99th percentile from leaning
 // on the maximum.
@@ -54,9 +52,10 @@
     stats.p50_s = stats.p90_s = stats.p99_s = stats.max_s;
     return stats;
   }
-  stats.p50_s = acc::quantile(set, acc::quantile_probability = 0.5);
-  stats.p90_s = acc::quantile(set, acc::quantile_probability = 0.9);
-  stats.p99_s = acc::quantile(set, acc::quantile_probability = 0.99);
+  const auto quantiles = acc::extended_p_square(set);
+  stats.p50_s = quantiles[0];
+  stats.p90_s = quantiles[1];
+  stats.p99_s = quantiles[2];
   return stats;
 }
 
--- a/src/load_report.cpp
+++ b/src/load_report.cpp
@@ -84,8 +84,7 @@
 }
 
 nlohmann::json LoadReport(LoadCounts counts, double elapsed_s) {
-  const std::uint64_t offered =
-      Sum(counts, &LoadCounts::Organisation::offered);
+  const std::uint64_t offered = Sum(counts, &LoadCounts::Organisation::offered);
   const std::uint64_t ok = Sum(counts, &LoadCounts::Organisation::ok);
   nlohmann::json report = {{"elapsed_s", elapsed_s},
                            {"offered", offered},
@@ -122,8 +121,7 @@
   if (text.empty() || text.front() != '/' || start == std::string::npos) {
     return std::nullopt;
   }
-  const std::size_t size =
-      text[start] != '=' && text[start + 1] == '=' ? 2 : 1;
+  const std::size_t size = text[start] != '=' && text[start + 1] == '=' ? 2 : 1;
   Expectation expectation;
   expectation.pointer = text.substr(0, start);
   expectation.comparison = text.substr(start, size);
--- a/src/load_report.h
+++ b/src/load_report.h
@@ -33,7 +33,7 @@
   struct Organisation {
     std::uint64_t offered = 0;
     std::uint64_t ok = 0;
-    ByName results;  ///< Final results of requests: "ok" or a reason.
+    ByName results;         ///< Final results of requests: "ok" or a reason.
     double limit_rate = 0;  ///< 0: no limit to compare with.
     double limit_burst = 0;
     std::vector<Span> spans;  ///< Of requests that succeeded.
--- a/src/load_run.cpp
+++ b/src/load_run.cpp
@@ -67,13 +67,11 @@
       auto& counts = counts_.organisations[organisation.name];
       counts.limit_rate = organisation.limit_rate;
       counts.limit_burst = organisation.limit_burst;
-      const auto timer =
-          std::make_shared<boost::asio::steady_timer>(context_);
+      const auto timer = std::make_shared<boost::asio::steady_timer>(context_);
       ScheduleNext(organisation, timer, start);
     }
     context_.run();
-    *elapsed_s =
-        std::chrono::duration<double>(Clock::now() - start).count();
+    *elapsed_s = std::chrono::duration<double>(Clock::now() - start).count();
     return std::move(counts_);
   }
 
@@ -90,8 +88,7 @@
     if (organisation.rate <= 0) return;
     const std::chrono::duration<double> gap(
         std::exponential_distribution<>(organisation.rate)(random_));
-    const Instant next =
-        previous + std::chrono::duration_cast<Duration>(gap);
+    const Instant next = previous + std::chrono::duration_cast<Duration>(gap);
     if (next >= end_) return;
     timer->expires_at(next);
     timer->async_wait([this, &organisation, timer, next](auto code) {
--- a/src/load_run.h
+++ b/src/load_run.h
@@ -11,9 +11,9 @@
 
 struct LoadOrganisation {
   std::string name;
-  std::string key;  ///< Sent as X-Api-Key; empty: none.
-  double rate = 0;  ///< Offered whole requests per second.
-  double limit_rate = 0;   ///< Published rate to compare with; 0: none.
+  std::string key;        ///< Sent as X-Api-Key; empty: none.
+  double rate = 0;        ///< Offered whole requests per second.
+  double limit_rate = 0;  ///< Published rate to compare with; 0: none.
   double limit_burst = 0;
 };
 
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -127,7 +127,8 @@
 
   static void Emit(const LogEvent& event) {
     const auto logger = log4cplus::Logger::getInstance(LoggerOf(event.event));
-    logger.log(ToLog4cplus(event.level), FormatEvent(event.event, event.fields));
+    logger.log(ToLog4cplus(event.level),
+               FormatEvent(event.event, event.fields));
   }
 
   log4cplus::Initializer initializer_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -25,9 +25,11 @@
   out << "Overload control layer for service call graphs.\n\n"
          "Usage:\n  lentilcross SUBCOMMAND [OPTION...]\n\nSubcommands:\n";
   for (const auto& [name, run, summary] : kSubcommands) {
-    out << "  " << name << std::string(10 - name.size(), ' ') << summary << "\n";
+    out << "  " << name << std::string(10 - name.size(), ' ') << summary
+        << "\n";
   }
-  out << "\nOptions:\n  --help     show this help; with a subcommand, its help\n"
+  out << "\nOptions:\n  --help     show this help; with a subcommand, its "
+         "help\n"
          "  --version  show the version\n\n"
          "Exit status: 0 success, 1 findings or failed expectations, 2 "
          "unusable arguments.\n\n"
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -245,10 +245,10 @@
                          std::string_view help, const auto& value) {
     out.Head(name, type, help);
     for (const TargetStatus& target : targets) {
-      out.Sample(name,
-                 Label("target", target.name) + "," +
-                     Label("service", target.service),
-                 std::to_string(value(target)));
+      out.Sample(
+          name,
+          Label("target", target.name) + "," + Label("service", target.service),
+          std::to_string(value(target)));
     }
   };
   write("target_limit", "gauge", "Concurrency limit.",
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -18,8 +18,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Below 128 bits a peer key could be guessed; above 64 bytes HMAC-SHA-256 hashes
-// the key first, which adds nothing.
+// Below 128 bits a peer key could be guessed; above 64 bytes HMAC-SHA-256
+// hashes the key first, which adds nothing.
 constexpr std::size_t kMinPeerKeyBytes = 16;
 constexpr std::size_t kMaxPeerKeyBytes = 64;
 constexpr std::size_t kMaxPeerKeys = 2;
@@ -120,18 +120,19 @@
   void ReadEndpoints(std::string_view name, Presence presence,
                      std::vector<Endpoint>& out) {
     std::set<std::string> seen;
-    reader_.Elements(name, presence,
-                     [&](const nlohmann::json& value, const std::string& place) {
-                       if (!value.is_string()) {
-                         findings_.Add(place, "wrong type: expected a string");
-                       } else if (!IsEndpoint(value)) {
-                         findings_.Add(place, "out of range: expected ip:port");
-                       } else if (!seen.insert(value).second) {
-                         findings_.Add(place, "duplicate address");
-                       } else {
-                         out.push_back(ToEndpoint(value));
-                       }
-                     });
+    reader_.Elements(
+        name, presence,
+        [&](const nlohmann::json& value, const std::string& place) {
+          if (!value.is_string()) {
+            findings_.Add(place, "wrong type: expected a string");
+          } else if (!IsEndpoint(value.get_ref<const std::string&>())) {
+            findings_.Add(place, "out of range: expected ip:port");
+          } else if (!seen.insert(value.get<std::string>()).second) {
+            findings_.Add(place, "duplicate address");
+          } else {
+            out.push_back(ToEndpoint(value.get_ref<const std::string&>()));
+          }
+        });
   }
 
   void ReadTargets() {
@@ -182,7 +183,7 @@
       findings_.Add(place, "wrong type: expected a string");
       return;
     }
-    auto key = DecodePeerKey(value);
+    auto key = DecodePeerKey(value.get_ref<const std::string&>());
     if (!key || key->size() < kMinPeerKeyBytes ||
         key->size() > kMaxPeerKeyBytes) {
       findings_.Add(place,
@@ -204,11 +205,10 @@
     if (!reader.is_object()) return;
     reader.Choice("level", Presence::kOptional, ParseLogLevel, kLevelNames,
                   settings_.log.level);
-    reader.Members("loggers", Presence::kOptional,
-                   [this](const std::string& name, const nlohmann::json& value,
-                          const std::string& place) {
-                     ReadLogger(name, value, place);
-                   });
+    reader.Members(
+        "loggers", Presence::kOptional,
+        [this](const std::string& name, const nlohmann::json& value,
+               const std::string& place) { ReadLogger(name, value, place); });
     reader.Finish();
   }
 
@@ -221,8 +221,8 @@
     } else if (const auto level = ParseLogLevel(value.get<std::string>())) {
       settings_.log.loggers[name] = *level;
     } else {
-      findings_.Add(place, "out of range: expected one of " +
-                               std::string(kLevelNames));
+      findings_.Add(
+          place, "out of range: expected one of " + std::string(kLevelNames));
     }
   }
 
--- a/tools/standins/standin.h
+++ b/tools/standins/standin.h
@@ -11,6 +11,7 @@
 namespace lentilcross::standin {
 
 using web::HttpExchange;
+using web::HttpRequest;
 using web::HttpResponse;
 using web::HttpServer;
 
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -14,7 +14,6 @@
 namespace lentilcross::standin {
 namespace {
 
-using web::HttpRequest;
 using web::MakeResponse;
 using Exchange = std::shared_ptr<HttpExchange>;
 
--- a/tools/standins/standin_relay.cpp
+++ b/tools/standins/standin_relay.cpp
@@ -207,7 +207,8 @@
   const Options options(
       argc, argv,
       "standin_relay --listen IP:PORT --to IP:PORT --control IP:PORT");
-  const auto listen = lentilcross::web::ParseTcpEndpoint(options.required("listen"));
+  const auto listen =
+      lentilcross::web::ParseTcpEndpoint(options.required("listen"));
   const auto to = lentilcross::web::ParseTcpEndpoint(options.required("to"));
   if (!listen || !to) {
     std::cerr << "--listen and --to need ip:port\n";
--- a/tools/standins/standin_target.cpp
+++ b/tools/standins/standin_target.cpp
@@ -18,7 +18,6 @@
 
 using Clock = std::chrono::steady_clock;
 using web::HttpClient;
-using web::HttpRequest;
 using web::HttpResult;
 using web::MakeResponse;
 using Milliseconds = std::chrono::duration<double, std::milli>;
