--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -5,29 +5,50 @@
 add_library(
   lentilcross_daemon STATIC
   src/audit.cpp
+  src/call_replies.cpp
+  src/control_loop.cpp
+  src/daemon.cpp
+  src/data_loop.cpp
+  src/data_state.cpp
+  src/drain.cpp
+  src/http_front.cpp
+  src/http_types.cpp
   src/latency_summary.cpp
   src/load_report.cpp
   src/load_run.cpp
   src/logging.cpp
   src/metrics.cpp
+  src/onward_pipeline.cpp
   src/operator_server.cpp
-  src/settings.cpp)
+  src/outgoing_calls.cpp
+  src/peer_calls.cpp
+  src/peer_handshake.cpp
+  src/peer_links.cpp
+  src/peer_transport.cpp
+  src/platform_client.cpp
+  src/rate_waits.cpp
+  src/request_pipeline.cpp
+  src/request_rules.cpp
+  src/retry_policy.cpp
+  src/settings.cpp
+  src/stats_snapshot.cpp
+  src/target_calls.cpp
+  src/target_client.cpp
+  src/ticket_calls.cpp)
 target_include_directories(lentilcross_daemon PUBLIC src)
-target_link_libraries(lentilcross_daemon PUBLIC lentilcross_core lentilcross_http
-                                                log4cplus::log4cplus)
+target_link_libraries(
+  lentilcross_daemon PUBLIC lentilcross_core lentilcross_http
+                            log4cplus::log4cplus Threads::Threads)
 
-if(EXISTS ${CMAKE_SOURCE_DIR}/src/daemon.cpp)
-  target_sources(lentilcross_daemon PRIVATE src/daemon.cpp)
-  add_executable(
-    lentilcross
-    src/command.cpp
-    src/command_audit.cpp
-    src/command_check.cpp
-    src/command_daemon.cpp
-    src/command_load.cpp
-    src/command_status.cpp
-    src/main.cpp)
-  target_compile_definitions(
-    lentilcross PRIVATE LENTILCROSS_VERSION="${PROJECT_VERSION}")
-  target_link_libraries(lentilcross PRIVATE lentilcross_daemon cxxopts::cxxopts)
-endif()
+add_executable(
+  lentilcross
+  src/command.cpp
+  src/command_audit.cpp
+  src/command_check.cpp
+  src/command_daemon.cpp
+  src/command_load.cpp
+  src/command_status.cpp
+  src/main.cpp)
+target_compile_definitions(lentilcross
+                           PRIVATE LENTILCROSS_VERSION="${PROJECT_VERSION}")
+target_link_libraries(lentilcross PRIVATE lentilcross_daemon cxxopts::cxxopts)
