--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -207,6 +207,10 @@
   static void Visit(V& v, M& m) {
     v.Identifier(m.organisation, IdRule::kRequired);
     v.Record(m.want);
+    v.Record(m.held);
+    v.Quantity(m.need);
+    v.Quantity(m.returned);
+    v.Integer(m.grant);
   }
 };
 
@@ -214,6 +218,7 @@
 struct Schema<LoanRequest> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
     v.List(m.asks, kMaxListSize);
   }
@@ -226,6 +231,8 @@
     v.Identifier(m.organisation, IdRule::kRequired);
     v.Record(m.quota);
     v.Quantity(m.tokens);
+    v.Time(m.term);
+    v.Integer(m.part);
   }
 };
 
@@ -233,8 +240,8 @@
 struct Schema<LoanGrant> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
-    v.Time(m.term);
     v.List(m.loans, kMaxListSize);
   }
 };
@@ -243,8 +250,9 @@
 struct Schema<LoanReturn> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
-    v.List(m.loans, kMaxListSize);
+    v.List(m.asks, kMaxListSize);
   }
 };
 
