--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -24,8 +24,14 @@
 endforeach()
 
 if(TARGET lentilcross_daemon)
+  # Fakes and running daemons that these tests share.
+  add_library(lentilcross_daemon_testing STATIC tests/daemon/fakes.cpp
+                                                tests/daemon/fleet.cpp)
+  target_include_directories(lentilcross_daemon_testing
+                             PUBLIC ${CMAKE_SOURCE_DIR}/tests)
+  target_link_libraries(lentilcross_daemon_testing PUBLIC lentilcross_daemon)
   file(GLOB daemon_tests CONFIGURE_DEPENDS tests/daemon/*_test.cpp)
   foreach(source ${daemon_tests})
-    lentilcross_add_test(${source} lentilcross_daemon)
+    lentilcross_add_test(${source} lentilcross_daemon_testing)
   endforeach()
 endif()
