--- a/tests/daemon/fakes.h
+++ b/tests/daemon/fakes.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <condition_variable>
 #include <functional>
@@ -42,8 +43,8 @@
 
  private:
   std::unique_ptr<boost::asio::io_context> io_;
-  std::optional<boost::asio::executor_work_guard<
-      boost::asio::io_context::executor_type>>
+  std::optional<
+      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
       work_;
   std::unique_ptr<web::HttpServer> server_;
   std::uint16_t port_ = 0;
