--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -124,6 +124,7 @@
   double need = 0;          ///< Tokens wanted with the grant.
   double returned = 0;      ///< Unused tokens given back with this message.
   std::uint32_t grant = 0;  ///< Last grant accepted; 0: none.
+  std::uint16_t part = 0;   ///< Last part of it accepted.
 };
 
 /// Numbers increase within one borrower process, over requests and returns.
--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t kMaxSteps = 16;
+constexpr std::size_t kMaxLevels = 8;
 constexpr std::size_t kMaxBorrowers = 4096;
 // Absorbs rounding when levels are added and subtracted.
 constexpr double kRounding = 1e-9;
@@ -62,7 +63,7 @@
   }
   borrowed_total_ = {};
   for (const Borrowed& loan : borrowed_) {
-    borrowed_total_ = borrowed_total_ + loan.level.At(time);
+    borrowed_total_ = borrowed_total_ + loan.At(time);
   }
   lent_total_ = {};
   for (const Lent& lent : lent_) lent_total_ = lent_total_ + lent.At(time);
@@ -78,10 +79,11 @@
   };
   if (steps_.size() > 1) consider(steps_[1].at + handover_);
   consider(own_until_);
-  for (const Borrowed& loan : borrowed_) consider(loan.level.until);
+  for (const Borrowed& loan : borrowed_) {
+    for (const QuotaSlot& slot : loan.levels) consider(slot.until);
+  }
   for (const Lent& lent : lent_) {
-    consider(lent.held.until);
-    consider(lent.granted.until);
+    for (const QuotaSlot& slot : lent.levels) consider(slot.until);
   }
   return next;
 }
@@ -95,9 +97,11 @@
 int RateAccount::ApplyEnded(Instant time) {
   int count = 0;
   for (Borrowed& loan : borrowed_) {
-    if (loan.level.until > time || loan.level.quota.burst == 0) continue;
-    loan.level.quota = {};
-    ++count;
+    for (QuotaSlot& slot : loan.levels) {
+      if (slot.until > time || slot.quota.burst == 0) continue;
+      slot.quota = {};
+      ++count;
+    }
   }
   Recompute(time);
   return count;
@@ -127,59 +131,99 @@
 
 Quota RateAccount::LevelFrom(HostId lender) const {
   for (const Borrowed& loan : borrowed_) {
-    if (loan.lender == lender) return loan.level.quota;
+    if (loan.lender == lender) return loan.At(time_);
   }
   return {};
 }
 
+Borrowed* RateAccount::FindBorrowed(HostId lender) {
+  for (Borrowed& loan : borrowed_) {
+    if (loan.lender == lender) return &loan;
+  }
+  return nullptr;
+}
+
+Quota RateAccount::LeastLevel(const Borrowed& loan) const {
+  Quota least;
+  for (const Instant end : CapacityEnds()) {
+    if (end < time_ || end >= loan.until()) continue;
+    const Quota others = CapacityAt(end) - loan.At(end);
+    least = Max(least, CommittedAt(end) - others);
+  }
+  return least;
+}
+
+bool RateAccount::CoversLent() const {
+  for (const Instant end : CapacityEnds()) {
+    if (end < time_) continue;
+    if (Exceeds(CommittedAt(end), CapacityAt(end))) return false;
+  }
+  return true;
+}
+
+void RateAccount::DropReplaced(Borrowed& loan) {
+  std::vector<QuotaSlot>& levels = loan.levels;
+  if (levels.size() < 2) return;
+  std::vector<QuotaSlot> all = levels;
+  levels.assign(1, all.back());
+  if (!CoversLent()) levels.swap(all);
+}
+
 LoanAsk RateAccount::Declare(HostId lender, Quota keep, double returned) {
   LoanAsk ask;
-  for (Borrowed& loan : borrowed_) {
-    if (loan.lender != lender) continue;
-    const Quota before = loan.level.quota;
-    loan.level.quota = Min(before, keep);
-    ask.held = loan.level.quota;
-    ask.grant = loan.level.number;
-    ask.returned =
-        std::min({returned, tokens(), before.burst - ask.held.burst});
-    tokens_ -= ask.returned;
-    Recompute(time_);
+  Borrowed* loan = FindBorrowed(lender);
+  if (loan == nullptr || loan->levels.empty()) return ask;
+  DropReplaced(*loan);
+  QuotaSlot& oldest = loan->levels.front();
+  const Quota before = oldest.quota;
+  // What was lent on stays lent until it ends or is given back.
+  if (loan->levels.size() == 1) {
+    oldest.quota = Min(before, Max(keep, LeastLevel(*loan)));
   }
+  ask.held = oldest.quota;
+  ask.grant = oldest.number;
+  ask.part = oldest.part;
+  ask.returned = std::min({returned, tokens(), before.burst - ask.held.burst});
+  tokens_ -= ask.returned;
+  Recompute(time_);
   return ask;
 }
 
 bool RateAccount::Accept(HostId lender, std::uint32_t number, const Loan& loan,
                          Instant until) {
-  auto it = std::find_if(borrowed_.begin(), borrowed_.end(),
-                         [&](const Borrowed& b) { return b.lender == lender; });
-  if (it == borrowed_.end()) {
-    it = borrowed_.insert(borrowed_.end(), Borrowed{lender, {}, 0});
-  } else if (number < it->level.number ||
-             (number == it->level.number && loan.part <= it->part)) {
-    return false;
+  Borrowed* known = FindBorrowed(lender);
+  if (known == nullptr) {
+    borrowed_.push_back({lender, {}, {}});
+    known = &borrowed_.back();
+  }
+  std::vector<QuotaSlot>& levels = known->levels;
+  if (!levels.empty()) {
+    const QuotaSlot& last = levels.back();
+    if (number < last.number) return false;
+    if (number == last.number && loan.part <= last.part) return false;
   }
-  it->level = {loan.quota, until, number};
-  it->part = loan.part;
+  if (levels.size() >= kMaxLevels) return false;
+  levels.push_back({loan.quota, until, number, loan.part});
+  known->since = time_;
+  DropReplaced(*known);
   tokens_ += loan.tokens;
   Recompute(time_);
   return true;
 }
 
 void RateAccount::Confirm(Lent& lent, const LoanAsk& ask) const {
-  if (ask.grant == 0) {
-    lent.held = {};
-  } else if (ask.grant == lent.granted.number) {
-    lent.held = lent.granted;
-    lent.held.quota = Min(ask.held, lent.granted.At(time_));
-    lent.granted = {};
-  } else if (ask.grant == lent.held.number) {
-    lent.held.quota = Min(ask.held, lent.held.At(time_));
-  } else {
-    // A grant between the two: the later end covers both.
-    lent.held.quota = Min(ask.held, lent.At(time_));
-    lent.held.until = std::max(lent.held.until, lent.granted.until);
-    lent.held.number = ask.grant;
+  // Older grants were replaced by the one named; newer ones may still arrive.
+  std::vector<QuotaSlot>& levels = lent.levels;
+  QuotaSlot named{{}, {}, ask.grant, ask.part};
+  auto it = levels.begin();
+  for (; it != levels.end() && !it->IsNewerThan(ask); ++it) {
+    named.quota = Max(named.quota, it->At(time_));
+    named.until = std::max(named.until, it->until);
+    if (!it->IsOlderThan(ask)) named = *it;
   }
+  named.quota = Min(named.quota, ask.held);
+  it = levels.erase(levels.begin(), it);
+  if (ask.grant != 0) levels.insert(it, named);
 }
 
 Lent* RateAccount::OnDeclared(HostId borrower, Incarnation incarnation,
@@ -206,57 +250,90 @@
   return &*it;
 }
 
-Quota RateAccount::CapacityAt(Instant time, bool onward) const {
-  Quota capacity = time < own_until_ ? own_ : Quota{};
-  if (!onward) return capacity;
+Quota RateAccount::CapacityAt(Instant time) const {
+  Quota capacity = OwnAt(time);
   for (const Borrowed& loan : borrowed_) {
-    capacity = capacity + loan.level.At(time);
+    capacity = capacity + loan.At(time);
   }
   return capacity;
 }
 
-Quota RateAccount::CommittedAt(Instant time, const Lent& except) const {
+Quota RateAccount::CommittedAt(Instant time) const {
+  Quota sum;
+  for (const Lent& lent : lent_) sum = sum + lent.At(time);
+  return sum;
+}
+
+Quota RateAccount::OwnCommittedAt(Instant time) const {
   Quota sum;
   for (const Lent& lent : lent_) {
-    if (&lent != &except) sum = sum + lent.At(time);
+    if (!lent.onward) sum = sum + lent.At(time);
   }
   return sum;
 }
 
-Instant RateAccount::LatestUntil(const Lent& lent, Quota level,
-                                 Instant until) const {
+std::vector<Instant> RateAccount::CapacityEnds() const {
   std::vector<Instant> ends = {time_, own_until_};
-  for (const Borrowed& loan : borrowed_) ends.push_back(loan.level.until);
+  for (const Borrowed& loan : borrowed_) {
+    for (const QuotaSlot& slot : loan.levels) ends.push_back(slot.until);
+  }
   std::sort(ends.begin(), ends.end());
-  for (const Instant end : ends) {
+  return ends;
+}
+
+Instant RateAccount::LatestUntil(const Lent& lent, Quota level,
+                                 Instant until) const {
+  for (const Instant end : CapacityEnds()) {
     if (end < time_ || end >= until) continue;
-    const Quota total = CommittedAt(end, lent) + Max(level, lent.At(end));
-    if (Exceeds(total, CapacityAt(end, lent.onward))) return end;
+    const Quota more = level - lent.At(end);
+    if (Exceeds(CommittedAt(end) + more, CapacityAt(end))) return end;
+    if (lent.onward) continue;
+    if (Exceeds(OwnCommittedAt(end) + more, OwnAt(end))) return end;
   }
   return until;
 }
 
-void RateAccount::Grant(Lent& lent, std::uint32_t number, Quota level,
-                        double tokens, Instant until) {
-  QuotaSlot& slot = lent.granted;
-  slot.quota = Max(slot.At(time_), level);
-  slot.until = std::max(slot.until, until);
-  slot.number = number;
-  tokens_ -= tokens;
+void RateAccount::Grant(Lent& lent, const Loan& loan, Instant until) {
+  std::vector<QuotaSlot>& levels = lent.levels;
+  QuotaSlot slot{loan.quota, until, lent.last_number, loan.part};
+  if (levels.size() >= kMaxLevels) {
+    // One entry that covers two grants.
+    slot.quota = Max(slot.quota, levels.back().At(time_));
+    slot.until = std::max(slot.until, levels.back().until);
+    levels.pop_back();
+  }
+  levels.push_back(slot);
+  tokens_ -= loan.tokens;
   Recompute(time_);
 }
 
+Quota MostAt(const std::vector<QuotaSlot>& levels, Instant time) {
+  Quota most;
+  for (const QuotaSlot& slot : levels) most = Max(most, slot.At(time));
+  return most;
+}
+
+Instant Borrowed::LastEnd() const {
+  Instant last{};
+  for (const QuotaSlot& slot : levels) last = std::max(last, slot.until);
+  return last;
+}
+
+Instant Lent::LastEnd() const {
+  Instant last = unmet_until;
+  for (const QuotaSlot& slot : levels) last = std::max(last, slot.until);
+  return last;
+}
+
 void RateAccount::ForgetEnded() {
+  // A borrower's last number is needed until no older message can arrive.
   const auto idle_lent = [this](const Lent& lent) {
-    const Instant last =
-        std::max({lent.held.until, lent.granted.until, lent.unmet_until});
-    return last + kMemory < time_;
+    return lent.LastEnd() + kMemory < time_;
   };
   lent_.erase(std::remove_if(lent_.begin(), lent_.end(), idle_lent),
               lent_.end());
-  // The number of the last grant is needed until no older one can arrive.
   const auto idle_borrowed = [this](const Borrowed& loan) {
-    return loan.level.until + kMemory < time_;
+    return loan.LastEnd() + kMemory < time_;
   };
   borrowed_.erase(
       std::remove_if(borrowed_.begin(), borrowed_.end(), idle_borrowed),
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -5,6 +5,7 @@
 
 #include "lentilcross/peer_message.h"
 #include "lentilcross/types.h"
+#include "rate_demand.h"
 
 namespace lentilcross {
 
@@ -21,34 +22,54 @@
   Quota quota;
   Instant until{};
   std::uint32_t number = 0;  ///< Request that the grant answers.
+  std::uint16_t part = 0;    ///< Which of several grants for it.
+
+  bool IsNewerThan(const LoanAsk& ask) const {
+    return number > ask.grant || (number == ask.grant && part > ask.part);
+  }
+  bool IsOlderThan(const LoanAsk& ask) const {
+    return number < ask.grant || (number == ask.grant && part < ask.part);
+  }
 
   Quota At(Instant time) const { return until > time ? quota : Quota{}; }
 };
 
-/// What one borrower process may hold of this host's quota. `granted` is not
-/// confirmed yet: the borrower holds either of the two.
+Quota MostAt(const std::vector<QuotaSlot>& levels, Instant time);
+
+/// What one borrower process may hold of this host's quota.
 struct Lent {
   HostId borrower;
   Incarnation incarnation;
   bool onward = false;  ///< Borrowed quota may be lent on to it.
   std::uint32_t last_number = 0;
-  QuotaSlot held;
-  QuotaSlot granted;
+  /// Grants by age, from the last one that the borrower is known to have. It
+  /// holds one of these.
+  std::vector<QuotaSlot> levels;
   // Open wishes of the last request.
   Quota want;
   double unmet = 0;
   Instant unmet_until{};
   std::uint16_t next_part = 0;
+  RateDemand drawn;  ///< Tokens lent on.
 
-  Quota At(Instant time) const { return Max(held.At(time), granted.At(time)); }
+  Quota At(Instant time) const { return MostAt(levels, time); }
+  Instant LastEnd() const;
   double UnmetAt(Instant time) const { return unmet_until > time ? unmet : 0; }
 };
 
 /// What this host holds of a lender's quota.
 struct Borrowed {
   HostId lender;
-  QuotaSlot level;
-  std::uint16_t part = 0;
+  /// Grants by age. More than one only while the newest does not cover what was
+  /// lent on; the lender counts all of them until this host names a later one.
+  std::vector<QuotaSlot> levels;
+  Instant since{};  ///< When the newest was accepted.
+
+  Quota At(Instant time) const { return MostAt(levels, time); }
+  Instant until() const {
+    return levels.empty() ? Instant{} : levels.back().until;
+  }
+  Instant LastEnd() const;
 };
 
 /// Quota and tokens of one organisation at one host. Keeps the rules that bound
@@ -71,6 +92,8 @@
   Quota held() const { return held_; }
   Quota borrowed_total() const { return borrowed_total_; }
   Quota lent_total() const { return lent_total_; }
+  /// Lent to hosts that only get own quota.
+  Quota own_lent() const { return OwnCommittedAt(time_); }
   double tokens() const { return tokens_ > 0 ? tokens_ : 0; }
   bool TakeToken();
 
@@ -80,7 +103,7 @@
   /// Lowers what is held of a lender to `keep`, gives up to `returned` tokens
   /// back, and describes both for the lender.
   LoanAsk Declare(HostId lender, Quota keep, double returned);
-  /// False if a newer grant was accepted before.
+  /// False if it was accepted before, or a newer one was.
   bool Accept(HostId lender, std::uint32_t number, const Loan& loan,
               Instant until);
 
@@ -95,8 +118,7 @@
   /// promising more than this host is sure to hold.
   Instant LatestUntil(const Lent& lent, Quota level, Instant until) const;
   /// Lends `level` in place of what the borrower holds.
-  void Grant(Lent& lent, std::uint32_t number, Quota level, double tokens,
-             Instant until);
+  void Grant(Lent& lent, const Loan& loan, Instant until);
   /// Drops records of loans that ended a while ago.
   void ForgetEnded();
 
@@ -114,8 +136,16 @@
   void Recompute(Instant time);
   Instant NextEvent() const;
   void Confirm(Lent& lent, const LoanAsk& ask) const;
-  Quota CapacityAt(Instant time, bool onward) const;
-  Quota CommittedAt(Instant time, const Lent& except) const;
+  Quota OwnAt(Instant time) const { return time < own_until_ ? own_ : Quota{}; }
+  Quota CapacityAt(Instant time) const;
+  Quota CommittedAt(Instant time) const;
+  Quota OwnCommittedAt(Instant time) const;
+  std::vector<Instant> CapacityEnds() const;
+  void DropReplaced(Borrowed& loan);
+  Borrowed* FindBorrowed(HostId lender);
+  /// Least that must be kept of a loan to cover what is lent on.
+  Quota LeastLevel(const Borrowed& loan) const;
+  bool CoversLent() const;
 
   std::vector<Step> steps_;
   Duration handover_{};
--- a/src/rate_book_impl.h
+++ b/src/rate_book_impl.h
@@ -19,7 +19,11 @@
   Instant asked{};
   double in_flight = 0;  ///< Tokens asked for and not answered.
   double last_need = 0;
-  int failures = 0;  ///< Answers in a row without the tokens asked for.
+  int failures = 0;         ///< Answers in a row without the tokens asked for.
+  bool unanswered = false;  ///< The last request has no answer yet.
+  Instant waiting_since{};
+  Instant silent_until{};  ///< Not preferred until then: it did not answer.
+  Instant served{};        ///< Last answer with all that was asked for.
 };
 
 /// Everything known about one organisation.
@@ -28,15 +32,13 @@
   Quota total;
   RateAccount account;
   RateDemand local;  ///< Requests that arrived here.
-  RateDemand drawn;  ///< Tokens lent to hosts that own nothing.
   int waiting = 0;
   Instant last_wait{};
   bool is_owner = false;
   bool dirty = false;
   std::vector<HostId> owners_here;  ///< Owners in this failure domain.
-  std::vector<Lender> lenders;
+  std::vector<Lender> lenders;      ///< In order of rank.
   bool lenders_known = false;
-  std::size_t next_lender = 0;
 };
 
 struct RateBook::Impl {
@@ -55,15 +57,29 @@
   Charge OnNoToken(RateOrg& org, Duration waited, Instant now);
 
   // Borrower (rate_borrower.cpp).
+  struct Wishes {
+    double demand = 0;  ///< Requests per second to be covered.
+    double stock = 0;   ///< Tokens to keep at hand.
+    double need = 0;    ///< Tokens to fetch now.
+    bool urgent = false;
+  };
   void FindLenders(RateOrg& org);
+  void NoteSilence(RateOrg& org, Instant now) const;
+  Lender* Primary(RateOrg& org, Instant now);
+  bool CountsHere(const RateOrg& org, const Lent& lent, bool is_home) const;
+  Wishes Wish(RateOrg& org, bool is_home, Instant now);
   void Plan(RateOrg& org, Instant now);
-  void PlanRates(RateOrg& org, double rate, std::vector<double>& rates) const;
-  void PlanTokens(RateOrg& org, double need, bool urgent, Instant now,
-                  std::vector<double>& needs) const;
+  void Gather(RateOrg& org, const Wishes& wishes, Instant now);
+  void Buy(RateOrg& org, Lender& primary, const Wishes& wishes, Instant now);
+  void AskAll(RateOrg& org, const Wishes& wishes, Instant now);
+  void Drop(RateOrg& org, Lender& lender, Instant now);
+  void Release(RateOrg& org, Lender& lender, Quota keep, double returned,
+               Instant now);
   void Ask(RateOrg& org, Lender& lender, Quota keep, double returned,
-           Quota more, double need, Instant now);
+           Quota want_more, double need, Instant now);
   void GiveBackAll(RateOrg& org, Instant now);
   bool OnGrant(HostId from, const LoanGrant& grant, Instant now);
+  void NoteAnswer(RateOrg& org, Lender& lender, const Loan& loan, Instant now);
   bool AcceptLoan(HostId from, std::uint32_t number, Instant sent,
                   const Loan& loan, Instant now);
 
@@ -72,6 +88,8 @@
   void OnReturn(HostId from, const LoanReturn& message, Instant now);
   Lent* TakeDeclaration(RateOrg& org, HostId from, Incarnation borrower,
                         std::uint32_t number, const LoanAsk& ask, Instant now);
+  std::uint64_t RankOf(const RateOrg& org, HostId owner) const;
+  bool IsOwnerHere(const RateOrg& org, HostId host) const;
   bool IsOnward(const RateOrg& org, HostId borrower) const;
   double GrantableRate(const RateOrg& org, const Lent& lent, Instant now) const;
   double GrantableTokens(const RateOrg& org, const Lent& lent,
--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -8,17 +8,39 @@
 
 // Below this many requests per second an organisation counts as idle here.
 constexpr double kIdleRate = 0.2;
-// Share of the wished stock of tokens below which more are fetched.
+// Shares of the rate in use from which an owner gathers the others' quotas, and
+// below which it gives them back.
+constexpr double kGatherAbove = 0.03;
+constexpr double kGatherBelow = 0.015;
+// Part of the burst that goes with a share of the demand. Hosts and the owner
+// that serves them each keep as much; the rest stays with the primary.
+constexpr double kStockShare = 0.25;
+// An owner passes tokens on; it keeps what is used while it asks for more.
+constexpr double kOwnerStockSeconds = 0.1;
+// Part of the burst that is kept empty for generation at the borrowed rates.
+constexpr double kReachShare = 0.15;
+// With less, tokens are fetched one by one: they would lie idle at most hosts.
+constexpr double kLeastStock = 0.5;
+// With a smaller stock the bucket is often full and would lose borrowed rate.
+constexpr double kLeastStockForRate = 3;
+// Share of the stock of tokens below which more are fetched.
+// Empty burst is given back from this part of the whole burst on.
+constexpr double kLeastRelease = 0.02;
 constexpr double kLowStock = 0.3;
-constexpr double kRefilledStock = 0.7;
-// Owners of other domains are asked in small groups unless a request waits.
-constexpr std::size_t kPrefetchLenders = 3;
 // Asks for more than its part of each lender, as some have less.
 constexpr double kOverask = 1.5;
 constexpr Duration kAskInterval = std::chrono::milliseconds(4);
 constexpr Duration kRateAskInterval = std::chrono::milliseconds(200);
+constexpr Duration kRenewInterval = std::chrono::milliseconds(100);
 constexpr Duration kReleaseInterval = std::chrono::milliseconds(50);
+constexpr Duration kAskAllInterval = std::chrono::milliseconds(100);
+// Time in which an answer from another region arrives, twice over.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(40);
+// A lender in this domain answers much sooner than that.
+constexpr Duration kNearAnswerLimit = std::chrono::milliseconds(10);
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(100);
+constexpr Duration kSilencePenalty = std::chrono::seconds(3);
+constexpr Duration kServedMemory = std::chrono::seconds(2);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(10);
 constexpr int kMaxBackoffDoublings = 5;
 
@@ -34,6 +56,16 @@
   return kFirstBackoff * (1 << doublings);
 }
 
+bool IsRenewalDue(const RateAccount& account, const Lender& lender,
+                  Instant now) {
+  for (const Borrowed& loan : account.borrowed()) {
+    if (loan.lender != lender.host || loan.At(now).burst <= 0) continue;
+    return loan.until() - now < (loan.until() - loan.since) / 2 &&
+           now - lender.asked >= kRenewInterval;
+  }
+  return false;
+}
+
 }  // namespace
 
 void RateBook::Impl::FindLenders(RateOrg& org) {
@@ -57,150 +89,216 @@
       add(domain, owners.Find(org.id, domain));
     }
   }
-  // Every host starts with another lender.
-  std::sort(found.begin(), found.end(), [this](const auto& a, const auto& b) {
-    return CombineHash(init.self.value(), a.host.value()) <
-           CombineHash(init.self.value(), b.host.value());
+  std::sort(found.begin(), found.end(), [&](const auto& a, const auto& b) {
+    return RankOf(org, a.host) < RankOf(org, b.host);
   });
   org.lenders = std::move(found);
-  org.next_lender = 0;
 }
 
-void RateBook::Impl::PlanRates(RateOrg& org, double rate,
-                               std::vector<double>& rates) const {
-  const std::size_t count = org.lenders.size();
-  double left = rate;
-  for (std::size_t i = 0; i < count; ++i) {
-    // An owner here can borrow on; owners elsewhere lend only their own share.
-    const double most = org.is_owner ? org.lenders[i].potential.rate
-                                     : rate / static_cast<double>(count);
-    rates[i] = std::min(left, most);
-    left -= rates[i];
+void RateBook::Impl::NoteSilence(RateOrg& org, Instant now) const {
+  for (Lender& lender : org.lenders) {
+    if (now - lender.asked > kAnswerLimit) lender.in_flight = 0;
+    if (lender.unanswered && now - lender.waiting_since > kSilenceLimit) {
+      lender.unanswered = false;
+      lender.silent_until = now + kSilencePenalty;
+    }
   }
 }
 
-void RateBook::Impl::PlanTokens(RateOrg& org, double need, bool urgent,
-                                Instant now, std::vector<double>& needs) const {
-  const std::size_t count = org.lenders.size();
-  std::vector<std::size_t> ready;
-  for (std::size_t i = 0; i < count; ++i) {
-    const std::size_t index = (org.next_lender + i) % count;
-    const Lender& lender = org.lenders[index];
-    if (now - lender.asked >= Backoff(lender)) ready.push_back(index);
+// Hosts borrow from the best ranked owner of their domain that answers, and
+// those from the best ranked of all. Tokens are then in one place, where every
+// host can get them, instead of in small parts everywhere.
+Lender* RateBook::Impl::Primary(RateOrg& org, Instant now) {
+  Lender* best = nullptr;
+  for (Lender& lender : org.lenders) {
+    if (org.is_owner && RankOf(org, lender.host) > RankOf(org, init.self)) {
+      break;
+    }
+    if (lender.silent_until > now) continue;
+    if (IsOwnerHere(org, lender.host)) return &lender;
+    if (best == nullptr) best = &lender;
   }
-  if (ready.empty()) return;
-  const std::size_t group = org.is_owner ? kPrefetchLenders : 1;
-  if (!urgent && ready.size() > group) ready.resize(group);
-  const double part = need / static_cast<double>(ready.size());
-  const double overask = ready.size() > 1 ? kOverask : 1;
-  for (const std::size_t index : ready) {
-    // An owner here is asked for whole tokens: parts of one admit nothing.
-    const double least = org.is_owner ? 0 : std::min(need, 2.0);
-    needs[index] = std::max(part * overask, least);
+  if (best != nullptr || org.is_owner) return best;
+  return &org.lenders.front();
+}
+
+bool RateBook::Impl::CountsHere(const RateOrg& org, const Lent& lent,
+                                bool is_home) const {
+  if (!lent.onward) return false;
+  if (is_home || lent.want.rate > 0) return true;
+  return owners.DomainOf(lent.borrower) == init.failure_domain &&
+         !IsOwnerHere(org, lent.borrower);
+}
+
+RateBook::Impl::Wishes RateBook::Impl::Wish(RateOrg& org, bool is_home,
+                                            Instant now) {
+  const RateAccount& account = org.account;
+  Wishes wishes;
+  wishes.demand = org.local.rate(now);
+  double wanted = org.waiting;
+  for (const Lent& lent : account.lent()) {
+    if (!CountsHere(org, lent, is_home)) continue;
+    wishes.demand +=
+        lent.drawn.rate(now) + std::max(lent.want.rate, lent.At(now).rate);
+    wanted += lent.UnmetAt(now);
   }
-  org.next_lender = (ready.back() + 1) % count;
+  const double part =
+      std::min(1.0, wishes.demand / std::max(org.total.rate, 1e-9));
+  wishes.stock = part * org.total.burst * kStockShare;
+  if (org.is_owner) {
+    wishes.stock = std::min(wishes.stock, wishes.demand * kOwnerStockSeconds);
+  }
+  if (wishes.stock < kLeastStock) wishes.stock = 0;
+
+  double available = account.tokens();
+  for (const Lender& lender : org.lenders) available += lender.in_flight;
+  const double low =
+      wishes.stock > 0 ? std::max(kLowStock * wishes.stock, 1.0) : 0;
+  wishes.urgent = wanted > available;
+  if (wishes.urgent || available < low) {
+    wishes.need = wanted + low + wishes.stock - available;
+  }
+  return wishes;
 }
 
 void RateBook::Impl::Plan(RateOrg& org, Instant now) {
   FindLenders(org);
-  const std::size_t count = org.lenders.size();
-  if (count == 0) return;
+  if (org.lenders.empty()) return;
   if (now - org.last_wait > init.longest_wait) org.waiting = 0;
-
-  RateAccount& account = org.account;
-  double unmet = 0;
-  double lent_rate = 0;
-  for (const Lent& lent : account.lent()) {
-    if (!lent.onward) continue;
-    unmet += lent.UnmetAt(now);
-    lent_rate += std::max(lent.want.rate, lent.At(now).rate);
-  }
-  const double demand = org.local.rate(now) + org.drawn.rate(now) + lent_rate;
-  if (demand < kIdleRate && org.waiting == 0 && unmet <= 0) {
+  NoteSilence(org, now);
+  Lender* primary = Primary(org, now);
+  const bool is_home = primary == nullptr;
+  const Wishes wishes = Wish(org, is_home, now);
+  if (wishes.demand < kIdleRate && !wishes.urgent) {
     GiveBackAll(org, now);
-    return;
+  } else if (is_home) {
+    Gather(org, wishes, now);
+  } else {
+    Buy(org, *primary, wishes, now);
   }
+}
 
-  const double part = std::min(1.0, demand / std::max(org.total.rate, 1e-9));
-  double stock = part * org.total.burst / 2;
-  if (stock < 0.5) stock = 0;
-  stock = std::max(stock, std::min(account.own().burst, 2 * stock));
+void RateBook::Impl::Gather(RateOrg& org, const Wishes& wishes, Instant now) {
+  const bool start =
+      wishes.urgent || wishes.demand > kGatherAbove * org.total.rate;
+  const bool keep = start || wishes.demand > kGatherBelow * org.total.rate;
+  for (Lender& lender : org.lenders) {
+    const Quota level = org.account.LevelFrom(lender.host);
+    const bool renew = IsRenewalDue(org.account, lender, now);
+    if (renew && !keep) {
+      Drop(org, lender, now);
+      continue;
+    }
+    const bool more = start && level.rate < 0.9 * lender.potential.rate &&
+                      now - lender.asked >= kRateAskInterval;
+    if (!renew && !more) continue;
+    const double need = std::max(0.0, lender.potential.burst - level.burst);
+    Ask(org, lender, level, 0, {lender.potential.rate, 0}, need, now);
+  }
+}
 
-  double in_flight = 0;
+void RateBook::Impl::Buy(RateOrg& org, Lender& primary, const Wishes& wishes,
+                         Instant now) {
+  const RateAccount& account = org.account;
+  const double own_rate = account.own().rate - account.own_lent().rate;
+  const double steady =
+      wishes.stock < kLeastStockForRate ? 0 : SteadyPart(wishes.demand);
+  const double rate = std::max(0.0, steady - std::max(0.0, own_rate));
+  const bool ready = now - primary.asked >= Backoff(primary);
+  const double need = ready ? wishes.need : 0;
+  if (wishes.urgent && now - primary.served > kServedMemory) {
+    AskAll(org, wishes, now);
+  }
   for (Lender& lender : org.lenders) {
-    if (now - lender.asked > kAnswerLimit) lender.in_flight = 0;
-    in_flight += lender.in_flight;
+    if (&lender != &primary && IsRenewalDue(account, lender, now)) {
+      Drop(org, lender, now);
+    }
   }
-  const double tokens = account.tokens();
-  const double shortage = org.waiting + unmet - tokens - in_flight;
-  const bool urgent = shortage > 0;
-  double need = 0;
-  if (urgent) {
-    need = shortage + stock / 2;
-  } else if (tokens + in_flight <
-             std::max(kLowStock * stock, std::min(stock, 1.0))) {
-    need = std::max(kRefilledStock * stock, 1.0) - tokens - in_flight;
+  const Quota level = account.LevelFrom(primary.host);
+  const Duration since = now - primary.asked;
+  const bool renew = IsRenewalDue(account, primary, now);
+  const bool raise = rate > level.rate * 1.1 + 0.01 * org.total.rate &&
+                     since >= kRateAskInterval;
+  // Burst that neither holds tokens nor is needed for generation soon.
+  const double reach_time =
+      kReachShare * org.total.burst / std::max(org.total.rate, 1e-9);
+  const double reach = account.held().rate * reach_time;
+  const double slack =
+      std::max(0.0, account.held().burst - account.tokens() - reach);
+  const bool release =
+      since >= kReleaseInterval &&
+      std::min(slack, level.burst) >
+          std::max(wishes.stock,
+                   std::min(2.0, kLeastRelease * org.total.burst));
+  if (release && need <= 0 && !renew && !raise) {
+    Release(org, primary, {std::min(level.rate, rate), level.burst - slack}, 0,
+            now);
   }
-  std::vector<double> rates(count, 0);
-  std::vector<double> needs(count, 0);
-  const double wished_rate =
-      std::max(0.0, SteadyPart(demand) - account.own().rate);
-  PlanRates(org, wished_rate, rates);
-  if (need > 0) PlanTokens(org, need, urgent, now, needs);
+  if (need <= 0 && !renew && !raise) return;
+  const double freed = std::min(slack, level.burst);
+  const double most = 1.5 * std::max(wishes.stock, 1.0);
+  const double surplus =
+      renew ? std::clamp(account.tokens() - most, 0.0, level.burst - freed) : 0;
+  const double room = rate * reach_time;
+  Ask(org, primary, {std::min(level.rate, rate), level.burst - freed - surplus},
+      surplus, {rate, rate > 0 ? room : 0}, need, now);
+}
 
-  // Burst that neither holds tokens nor is needed for generation soon.
-  double slack = account.held().burst - tokens - stock;
-  const double cap = std::max(0.0, stock - tokens - need);
-  for (std::size_t i = 0; i < count; ++i) {
-    Lender& lender = org.lenders[i];
-    const Quota level = account.LevelFrom(lender.host);
-    Instant until{};
-    for (const Borrowed& loan : account.borrowed()) {
-      if (loan.lender == lender.host) until = loan.level.until;
-    }
-    const Duration since = now - lender.asked;
-    const bool renew = level.burst > 0 && until - now < init.loan_term / 2 &&
-                       since >= kRateAskInterval;
-    const bool raise = rates[i] > level.rate * 1.1 + 0.02 * wished_rate &&
-                       since >= kRateAskInterval;
-    const bool release = level.burst > 0 && slack > std::max(2.0, stock) &&
-                         since >= kReleaseInterval;
-    if (needs[i] <= 0 && !renew && !raise && !release) continue;
-    const double freed = std::clamp(slack, 0.0, level.burst);
-    slack -= freed;
-    const double surplus = renew
-                               ? std::clamp(tokens - 1.5 * std::max(stock, 1.0),
-                                            0.0, level.burst - freed)
-                               : 0;
-    const Quota keep{std::min(level.rate, rates[i]),
-                     level.burst - freed - surplus};
-    const double share = wished_rate > 0 ? rates[i] / wished_rate : 0;
-    Ask(org, lender, keep, surplus, {rates[i], cap * share}, needs[i], now);
+// Used when it is not known where the tokens are: the primary has not gathered
+// them yet, or does not answer.
+void RateBook::Impl::AskAll(RateOrg& org, const Wishes& wishes, Instant now) {
+  const auto count = static_cast<double>(org.lenders.size());
+  const double part = std::min(wishes.need, wishes.need / count * kOverask);
+  const Lender* primary = Primary(org, now);
+  const bool is_late =
+      primary->unanswered && now - primary->waiting_since > kNearAnswerLimit;
+  if (!org.is_owner && !is_late) return;
+  for (Lender& lender : org.lenders) {
+    if (&lender == primary || now - lender.asked < kAskAllInterval) continue;
+    if (lender.silent_until > now) continue;
+    const Quota level = org.account.LevelFrom(lender.host);
+    const double need = org.is_owner ? part : wishes.need;
+    Ask(org, lender, level, 0, {level.rate, 0}, need, now);
   }
 }
 
 void RateBook::Impl::Ask(RateOrg& org, Lender& lender, Quota keep,
-                         double returned, Quota more, double need,
+                         double returned, Quota want_more, double need,
                          Instant now) {
   LoanAsk ask = org.account.Declare(lender.host, keep, returned);
   ask.organisation = org.id;
-  ask.want = {more.rate, ask.held.burst + need + more.burst};
+  ask.want = {std::max(want_more.rate, ask.held.rate),
+              ask.held.burst + need + want_more.burst};
   ask.need = need;
+  if (!lender.unanswered) lender.waiting_since = now;
+  lender.unanswered = true;
   lender.asked = now;
   lender.in_flight += need;
   lender.last_need = need;
   asks[lender.host].push_back(ask);
 }
 
-void RateBook::Impl::GiveBackAll(RateOrg& org, Instant) {
-  for (Lender& lender : org.lenders) {
-    const Quota level = org.account.LevelFrom(lender.host);
-    if (level.burst <= 0 && level.rate <= 0) continue;
-    LoanAsk ask = org.account.Declare(lender.host, {}, level.burst);
-    ask.organisation = org.id;
-    lender.in_flight = 0;
-    returns[lender.host].push_back(ask);
-  }
+void RateBook::Impl::Drop(RateOrg& org, Lender& lender, Instant now) {
+  const RateAccount& account = org.account;
+  const Quota level = account.LevelFrom(lender.host);
+  if (level.burst <= 0 && level.rate <= 0) return;
+  const double covered = std::max(0.0, account.held().burst - level.burst);
+  const double returned = std::max(0.0, account.tokens() - covered);
+  Release(org, lender, {}, returned, now);
+  lender.in_flight = 0;
+}
+
+void RateBook::Impl::Release(RateOrg& org, Lender& lender, Quota keep,
+                             double returned, Instant now) {
+  keep = keep - Quota{};
+  LoanAsk ask = org.account.Declare(lender.host, keep, returned);
+  ask.organisation = org.id;
+  lender.asked = now;
+  returns[lender.host].push_back(ask);
+}
+
+void RateBook::Impl::GiveBackAll(RateOrg& org, Instant now) {
+  for (Lender& lender : org.lenders) Drop(org, lender, now);
 }
 
 bool RateBook::Impl::OnGrant(HostId from, const LoanGrant& grant, Instant now) {
@@ -219,6 +317,21 @@
   return more;
 }
 
+void RateBook::Impl::NoteAnswer(RateOrg& org, Lender& lender, const Loan& loan,
+                                Instant now) {
+  lender.unanswered = false;
+  lender.silent_until = {};
+  lender.in_flight = std::max(0.0, lender.in_flight - loan.tokens);
+  // Only the primary sends more tokens once it gets them itself.
+  if (&lender != Primary(org, now)) lender.in_flight = 0;
+  if (loan.tokens >= 0.1 * lender.last_need) {
+    lender.served = now;
+    lender.failures = 0;
+  } else if (loan.part == 0) {
+    ++lender.failures;
+  }
+}
+
 bool RateBook::Impl::AcceptLoan(HostId from, std::uint32_t number, Instant at,
                                 const Loan& loan, Instant now) {
   RateOrg* org = Find(loan.organisation);
@@ -232,16 +345,7 @@
   }
   Advance(*org, now);
   for (Lender& lender : org->lenders) {
-    if (lender.host != from) continue;
-    const bool failed = loan.tokens < 0.1 * lender.last_need;
-    lender.in_flight = std::max(0.0, lender.in_flight - loan.tokens);
-    if (loan.part == 0) {
-      lender.failures = failed ? lender.failures + 1 : 0;
-      // A lender here may still send more; others have nothing left.
-      if (org->is_owner) lender.in_flight = 0;
-    } else if (!failed) {
-      lender.failures = 0;
-    }
+    if (lender.host == from) NoteAnswer(*org, lender, loan, now);
   }
   const Instant until = at + loan.term;
   if (loan.term <= Duration::zero() || until <= now) return false;
--- a/src/rate_lender.cpp
+++ b/src/rate_lender.cpp
@@ -14,6 +14,9 @@
 // Wishes are served late for as long as a request may wait for them.
 constexpr Duration kUnmetLifetime = std::chrono::milliseconds(60);
 
+// Part of the burst that stays with the rate that is not lent.
+constexpr double kKeptShare = 0.3;
+
 Duration Scaled(Duration duration, double factor) {
   return std::chrono::duration_cast<Duration>(duration * factor);
 }
@@ -40,10 +43,24 @@
 
 }  // namespace
 
-bool RateBook::Impl::IsOnward(const RateOrg& org, HostId borrower) const {
-  if (owners.DomainOf(borrower) != init.failure_domain) return false;
+std::uint64_t RateBook::Impl::RankOf(const RateOrg& org, HostId owner) const {
+  return CombineHash(org.id.value(), owner.value());
+}
+
+bool RateBook::Impl::IsOwnerHere(const RateOrg& org, HostId host) const {
   const auto& here = org.owners_here;
-  return std::find(here.begin(), here.end(), borrower) == here.end();
+  return std::find(here.begin(), here.end(), host) != here.end();
+}
+
+// Borrowed quota moves from better to worse rank only, and hosts that own
+// nothing come last; so it never returns to where it came from.
+bool RateBook::Impl::IsOnward(const RateOrg& org, HostId borrower) const {
+  if (!org.is_owner) return false;
+  if (owners.DomainOf(borrower) == init.failure_domain &&
+      !IsOwnerHere(org, borrower)) {
+    return true;
+  }
+  return RankOf(org, init.self) < RankOf(org, borrower);
 }
 
 Lent* RateBook::Impl::TakeDeclaration(RateOrg& org, HostId from,
@@ -103,15 +120,20 @@
 double RateBook::Impl::GrantableRate(const RateOrg& org, const Lent& lent,
                                      Instant now) const {
   const RateAccount& account = org.account;
-  double capacity = account.own().rate;
-  if (lent.onward) capacity += account.borrowed_total().rate;
+  const double before = lent.At(now).rate;
+  // A better ranked owner gathers the quota and lends back what is used here.
+  if (!lent.onward) {
+    const double own = account.own().rate - account.own_lent().rate;
+    return std::max(0.0, before + std::min(own, account.held().rate));
+  }
+  const double others = account.lent_total().rate - before;
+  const double capacity = account.own().rate + account.borrowed_total().rate;
   const double own_use = org.local.rate(now);
   std::vector<double> wishes = {own_use};
   for (const Lent& other : account.lent()) {
     wishes.push_back(std::max(other.want.rate, other.At(now).rate));
   }
   const double fair = MaxMinLevel(std::move(wishes), capacity);
-  const double others = account.lent_total().rate - lent.At(now).rate;
   const double free = capacity - others - std::min(own_use, fair);
   return std::clamp(free, 0.0, std::max(fair, 0.0));
 }
@@ -119,26 +141,19 @@
 double RateBook::Impl::GrantableTokens(const RateOrg& org, const Lent& lent,
                                        Instant now) const {
   const double tokens = org.account.tokens();
-  double reserve = org.waiting;
   int others = org.waiting > 0 ? 1 : 0;
-  double here = org.local.rate(now);
   for (const Lent& other : org.account.lent()) {
-    if (&other == &lent || other.UnmetAt(now) <= 0) continue;
-    ++others;
-    if (other.onward && !lent.onward) reserve += other.UnmetAt(now);
-  }
-  if (!lent.onward && here + org.drawn.rate(now) > 0.5) {
-    reserve += org.account.held().burst / 4;
+    if (&other != &lent && other.UnmetAt(now) > 0) ++others;
   }
   const double fair = std::max(1.0, tokens / (1 + others));
-  return std::clamp(tokens - reserve, 0.0, fair);
+  return std::clamp(tokens - org.waiting, 0.0, fair);
 }
 
 void RateBook::Impl::Serve(RateOrg& org, Lent& lent, bool first, Instant now) {
   RateAccount& account = org.account;
   const Quota before = lent.At(now);
   Quota room = account.held();
-  if (!lent.onward) room = Min(room, account.own() - account.lent_total());
+  if (!lent.onward) room = Min(room, account.own() - account.own_lent());
   Quota level;
   level.rate = std::min(lent.want.rate, GrantableRate(org, lent, now));
   double give = std::min(
@@ -150,12 +165,11 @@
   lent.unmet -= give;
   // Burst without tokens: what the borrower's own generation fills.
   const double wish = std::max(0.0, lent.want.burst - before.burst - give);
-  const double empty = std::max(0.0, room.burst - account.tokens());
-  const double part =
-      account.held().rate > 0
-          ? std::min(1.0, level.rate / (account.held().rate + before.rate))
-          : 0;
-  const double spare = std::max(empty / 2, (room.burst - give) * part);
+  const double keep = lent.onward
+                          ? account.held().rate * org.total.burst /
+                                std::max(org.total.rate, 1e-9) * kKeptShare
+                          : 0;
+  const double spare = std::max(0.0, room.burst - give - keep);
   const double extra = std::min({wish, spare, room.burst - give});
   // Tokens may only go along with burst that was not lent before.
   const bool grows = give + extra > 0;
@@ -176,9 +190,9 @@
     loan.quota = level;
     loan.tokens = give;
     loan.term = term;
-    account.Grant(lent, lent.last_number, level, give, until);
+    account.Grant(lent, loan, until);
     ++stats.loans_granted;
-    if (lent.onward) org.drawn.Add(give, now);
+    if (lent.onward) lent.drawn.Add(give, now);
   }
   if (!first) {
     grants.push_back({lent.borrower, {lent.incarnation, lent.last_number, {}}});
--- /dev/null
+++ b/tools/rate_compare/rate_fleet.cpp
@@ -0,0 +1,335 @@
+#include "rate_fleet.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "rate_owners.h"
+
+namespace lentilcross {
+namespace {
+
+constexpr Duration kContactInterval = std::chrono::seconds(1);
+constexpr Duration kLongestSpread = std::chrono::seconds(4);
+// Bytes of a message on the wire: websocket, TCP and IP headers and the CBOR
+// envelope, then one entry per organisation.
+constexpr std::uint64_t kEnvelopeBytes = 66;
+constexpr std::uint64_t kAskBytes = 60;
+constexpr std::uint64_t kLoanBytes = 40;
+
+struct SizeOf {
+  std::uint64_t operator()(const LoanRequest& message) const {
+    return kEnvelopeBytes + kAskBytes * message.asks.size();
+  }
+  std::uint64_t operator()(const LoanGrant& message) const {
+    return kEnvelopeBytes + kLoanBytes * message.loans.size();
+  }
+  std::uint64_t operator()(const LoanReturn& message) const {
+    return kEnvelopeBytes + kAskBytes * message.asks.size();
+  }
+};
+
+std::shared_ptr<Configuration> MakeConfiguration(
+    const RateFleet::Options& options) {
+  auto configuration = std::make_shared<Configuration>();
+  configuration->version = Version(1);
+  configuration->rate_owners_per_domain = options.owners_per_domain;
+  for (int d = 0; d < options.domains; ++d) {
+    const std::string name = "domain-" + std::to_string(d);
+    const auto domain = FailureDomainId::FromName(name);
+    configuration->failure_domains[domain] = {domain, name, "",
+                                              1.0 / options.domains};
+    for (int h = 0; h < options.hosts_per_domain; ++h) {
+      const int number = d * options.hosts_per_domain + h;
+      const std::string host_name = "host-" + std::to_string(number);
+      const auto host = HostId::FromName(host_name);
+      configuration->hosts[host] = {host, host_name, domain, ""};
+    }
+  }
+  for (std::size_t i = 0; i < options.organisations.size(); ++i) {
+    const std::string name = "organisation-" + std::to_string(i);
+    const auto id = OrganisationId::FromName(name);
+    configuration->organisations[id] = {id, name, options.organisations[i].rate,
+                                        options.organisations[i].burst, 1};
+  }
+  return configuration;
+}
+
+}  // namespace
+
+bool ReferenceBucket::Take(Instant now) {
+  const std::chrono::duration<double> elapsed = now - last_;
+  tokens_ = std::min(burst_, tokens_ + rate_ * elapsed.count());
+  last_ = now;
+  // Times are whole nanoseconds; tokens generated in one are rounded.
+  if (tokens_ < 1 - 1e-6) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+RateFleet::RateFleet(const Options& options)
+    : options_(options), random_(options.seed) {
+  configuration_ = MakeConfiguration(options);
+  const int count = options.domains * options.hosts_per_domain;
+  hosts_.resize(static_cast<std::size_t>(count));
+  side_.assign(hosts_.size(), false);
+  for (std::size_t i = 0; i < options.organisations.size(); ++i) {
+    const Quota quota = options.organisations[i];
+    organisations_.push_back(
+        {OrganisationId::FromName("organisation-" + std::to_string(i)),
+         ReferenceBucket(quota.rate, quota.burst),
+         ReferenceBucket(quota.rate, quota.burst),
+         {}});
+  }
+  for (int i = 0; i < count; ++i) {
+    Host& host = hosts_[static_cast<std::size_t>(i)];
+    host.id = HostId::FromName("host-" + std::to_string(i));
+    index_[host.id] = i;
+    Start(i);
+  }
+}
+
+OrganisationId RateFleet::organisation(int index) const {
+  return organisations_[static_cast<std::size_t>(index)].id;
+}
+
+bool RateFleet::IsOwner(int host, int organisation_index) const {
+  RateOwners owners;
+  owners.Apply(*configuration_);
+  const HostId id = hosts_[static_cast<std::size_t>(host)].id;
+  const auto list =
+      owners.Find(organisation(organisation_index), owners.DomainOf(id));
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+RateBook* RateFleet::book(int host) {
+  auto& book = hosts_[static_cast<std::size_t>(host)].book;
+  return book ? &*book : nullptr;
+}
+
+void RateFleet::At(Instant time, std::function<void()> action) {
+  events_.push({std::max(time, now_), order_++, std::move(action)});
+}
+
+void RateFleet::RunUntil(Instant time) {
+  while (!events_.empty() && events_.top().time <= time) {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.time;
+    event.action();
+    if (on_step) on_step();
+  }
+  now_ = time;
+}
+
+void RateFleet::Start(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  RateBook::Init init;
+  init.self = host.id;
+  init.failure_domain =
+      FailureDomainId::FromName("domain-" + std::to_string(DomainOf(index)));
+  init.incarnation = Incarnation(random_() | 1);
+  auto book = RateBook::Create(init);
+  if (!book) throw std::logic_error("RateBook::Create failed");
+  host.book.emplace(std::move(*book));
+  host.process = random_();
+  host.paused_until = {};
+  host.waiting.clear();
+  host.book->Apply(configuration_, now_);
+  host.book->RecordContact(now_, now_);
+  TickLater(index, host.process);
+  ContactLater(index, host.process);
+}
+
+void RateFleet::OnHost(int index, std::uint64_t process,
+                       std::function<void()> action) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  if (host.process != process) return;
+  if (host.paused_until <= now_) {
+    action();
+    return;
+  }
+  At(host.paused_until, [this, index, process, action = std::move(action)] {
+    OnHost(index, process, action);
+  });
+}
+
+void RateFleet::TickLater(int index, std::uint64_t process) {
+  const auto spread = static_cast<double>(options_.tick.count());
+  const Duration delay(
+      static_cast<std::int64_t>(spread * (0.5 + Uniform() / 2)));
+  At(now_ + delay, [this, index, process] {
+    OnHost(index, process, [this, index, process] {
+      Tick(index);
+      TickLater(index, process);
+    });
+  });
+}
+
+void RateFleet::ContactLater(int index, std::uint64_t process) {
+  At(now_ + kContactInterval, [this, index, process] {
+    const int peer = static_cast<int>(random_() % hosts_.size());
+    const bool answered =
+        peer != index && Reachable(index, peer) &&
+        hosts_[static_cast<std::size_t>(peer)].paused_until <= now_ &&
+        Uniform() >= options_.loss;
+    OnHost(index, process, [this, index, process, answered, began = now_] {
+      if (answered) book(index)->RecordContact(began, now_);
+      ContactLater(index, process);
+    });
+  });
+}
+
+void RateFleet::Tick(int index) {
+  for (auto& message : book(index)->Tick(now_)) {
+    Send(index, std::move(message));
+  }
+}
+
+Duration RateFleet::Delay(int from, int to) {
+  Duration delay = options_.delay_in_domain;
+  const int a = DomainOf(from);
+  const int b = DomainOf(to);
+  if (a != b) {
+    const int size = options_.domains_per_region;
+    delay = a / size == b / size ? options_.delay_in_region
+                                 : options_.delay_between_regions;
+  }
+  const auto jitter = static_cast<double>(options_.jitter.count());
+  return delay + Duration(static_cast<std::int64_t>(jitter * Uniform()));
+}
+
+bool RateFleet::Reachable(int from, int to) const {
+  return side_[static_cast<std::size_t>(from)] ==
+         side_[static_cast<std::size_t>(to)];
+}
+
+void RateFleet::Send(int from, RateBook::Outgoing message) {
+  const auto it = index_.find(message.to);
+  if (it == index_.end()) return;
+  const int to = it->second;
+  ++messages_;
+  hosts_[static_cast<std::size_t>(from)].bytes +=
+      std::visit(SizeOf{}, message.message);
+  if (!Reachable(from, to) || Uniform() < options_.loss) return;
+  const int copies = Uniform() < options_.duplicate ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    At(now_ + Delay(from, to), [this, from, to, message] {
+      // Delivered to whichever process has the name by then.
+      OnHost(to, hosts_[static_cast<std::size_t>(to)].process,
+             [this, from, to, message] { Deliver(from, to, message); });
+    });
+  }
+}
+
+void RateFleet::Deliver(int from, int to, const RateBook::Outgoing& message) {
+  const HostId sender = hosts_[static_cast<std::size_t>(from)].id;
+  RateBook& target = *book(to);
+  if (const auto* request = std::get_if<LoanRequest>(&message.message)) {
+    target.OnRequest(sender, *request, now_);
+  } else if (const auto* grant = std::get_if<LoanGrant>(&message.message)) {
+    if (target.OnGrant(sender, *grant, now_)) Retry(to);
+  } else if (const auto* back = std::get_if<LoanReturn>(&message.message)) {
+    target.OnReturn(sender, *back, now_);
+  }
+  Tick(to);
+}
+
+void RateFleet::Arrive(int index, int organisation_index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  Organisation& org =
+      organisations_[static_cast<std::size_t>(organisation_index)];
+  ++org.count.offered;
+  const bool within = org.offered.Take(now_);
+  if (within) ++org.count.within;
+  const Waiting request{++requests_, organisation_index, now_, within};
+  OnHost(index, host.process, [this, index, request] {
+    if (Settle(index, request)) return;
+    hosts_[static_cast<std::size_t>(index)].waiting.push_back(request);
+    Tick(index);
+  });
+}
+
+bool RateFleet::Settle(int index, const Waiting& request) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  Organisation& org =
+      organisations_[static_cast<std::size_t>(request.organisation)];
+  const Duration waited = now_ - request.arrived;
+  const auto charge = host.book->TryCharge(org.id, waited, now_);
+  if (charge.verdict == RateBook::Verdict::kWait) {
+    RetryAt(index, charge.retry_at);
+    return false;
+  }
+  org.count.longest_wait = std::max(org.count.longest_wait, waited);
+  if (charge.verdict == RateBook::Verdict::kAdmitted) {
+    ++org.count.admitted;
+    if (!org.admitted.Take(now_)) ++org.count.excess;
+  } else if (request.within) {
+    ++org.count.refused_within;
+  }
+  return true;
+}
+
+void RateFleet::Retry(int index) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  std::deque<Waiting> waiting;
+  waiting.swap(host.waiting);
+  for (const Waiting& request : waiting) {
+    if (!Settle(index, request)) host.waiting.push_back(request);
+  }
+  if (!host.waiting.empty()) Tick(index);
+}
+
+void RateFleet::RetryAt(int index, Instant time) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  if (host.retry_at > now_ && host.retry_at <= time) return;
+  host.retry_at = time;
+  At(time, [this, index, time, process = host.process] {
+    OnHost(index, process, [this, index, time] {
+      Host& waiting_host = hosts_[static_cast<std::size_t>(index)];
+      if (waiting_host.retry_at != time) return;
+      waiting_host.retry_at = {};
+      Retry(index);
+    });
+  });
+}
+
+void RateFleet::Pause(int host, Duration duration) {
+  hosts_[static_cast<std::size_t>(host)].paused_until = now_ + duration;
+}
+
+void RateFleet::Restart(int host) { Start(host); }
+
+void RateFleet::Partition(std::vector<bool> side) { side_ = std::move(side); }
+
+void RateFleet::Publish(std::function<void(Configuration&)> change) {
+  auto next = std::make_shared<Configuration>(*configuration_);
+  next->version = Version(next->version.value() + 1);
+  change(*next);
+  configuration_ = next;
+  for (int i = 0; i < hosts(); ++i) {
+    const auto most = static_cast<double>(kLongestSpread.count());
+    const Duration delay(static_cast<std::int64_t>(most * Uniform()));
+    const auto process = hosts_[static_cast<std::size_t>(i)].process;
+    At(now_ + delay, [this, i, process, next] {
+      OnHost(i, process, [this, i, next] { book(i)->Apply(next, now_); });
+    });
+  }
+}
+
+const RateFleet::Count& RateFleet::count(int organisation) const {
+  return organisations_[static_cast<std::size_t>(organisation)].count;
+}
+
+void RateFleet::ResetCounts() {
+  for (Organisation& org : organisations_) org.count = {};
+  for (Host& host : hosts_) host.bytes = 0;
+  messages_ = 0;
+}
+
+std::uint64_t RateFleet::MostBytes() const {
+  std::uint64_t most = 0;
+  for (const Host& host : hosts_) most = std::max(most, host.bytes);
+  return most;
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/tools/rate_compare/rate_fleet.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lentilcross/rate.h"
+
+namespace lentilcross {
+
+/// Token bucket that sees all requests at once: the reference for both "within
+/// rate" and excess. A sequence of admissions keeps to rate x window + burst in
+/// every window if and only if this bucket, full at first, admits all of it.
+class ReferenceBucket {
+ public:
+  ReferenceBucket(double rate, double burst)
+      : rate_(rate), burst_(burst), tokens_(burst) {}
+  bool Take(Instant now);
+  double tokens() const { return tokens_; }
+
+ private:
+  double rate_;
+  double burst_;
+  double tokens_;
+  Instant last_{};
+};
+
+/// RateBooks of a fleet on a simulated network, in virtual time.
+class RateFleet {
+ public:
+  struct Options {
+    int domains = 6;
+    int hosts_per_domain = 4;
+    int domains_per_region = 2;
+    int owners_per_domain = 2;
+    std::vector<Quota> organisations = {{200, 100}};
+    Duration delay_in_domain = std::chrono::microseconds(250);
+    Duration delay_in_region = std::chrono::microseconds(500);
+    Duration delay_between_regions = std::chrono::milliseconds(8);
+    Duration tick = std::chrono::milliseconds(20);
+    double loss = 0;
+    double duplicate = 0;
+    Duration jitter{};  ///< Most extra delay; reorders messages.
+    std::uint64_t seed = 1;
+  };
+  struct Count {
+    std::uint64_t offered = 0;
+    std::uint64_t within = 0;  ///< The reference admits it.
+    std::uint64_t admitted = 0;
+    std::uint64_t refused_within = 0;  ///< Refused though within rate.
+    std::uint64_t excess = 0;          ///< Admissions beyond the window bound.
+    Duration longest_wait{};
+  };
+
+  explicit RateFleet(const Options& options);
+
+  Instant now() const { return now_; }
+  int hosts() const { return static_cast<int>(hosts_.size()); }
+  int DomainOf(int host) const { return host / options_.hosts_per_domain; }
+  OrganisationId organisation(int index) const;
+  /// Hosts that own part of the organisation's quota.
+  bool IsOwner(int host, int organisation) const;
+  RateBook* book(int host);
+  Random& random() { return random_; }
+
+  void At(Instant time, std::function<void()> action);
+  void RunUntil(Instant time);
+  /// One new request at the host.
+  void Arrive(int host, int organisation);
+
+  /// Faults. A paused host handles what it received once it resumes.
+  void Pause(int host, Duration duration);
+  /// A new process takes the host's name at once.
+  void Restart(int host);
+  /// Messages between the two sides are lost until the next call.
+  void Partition(std::vector<bool> side);
+  void SetLoss(double loss) { options_.loss = loss; }
+  /// Publishes the next configuration version to all hosts within 4 s.
+  void Publish(std::function<void(Configuration&)> change);
+
+  /// Called after every step.
+  std::function<void()> on_step;
+
+  const Count& count(int organisation) const;
+  /// Clears the counts, to leave the start out of a measurement.
+  void ResetCounts();
+  std::uint64_t messages() const { return messages_; }
+  /// Estimated bytes sent by the busiest host since `ResetCounts`.
+  std::uint64_t MostBytes() const;
+  std::string TraceOfRefusals() const { return trace_; }
+
+ private:
+  struct Waiting {
+    std::uint64_t number = 0;
+    int organisation = 0;
+    Instant arrived{};
+    bool within = false;
+  };
+  struct Host {
+    HostId id;
+    std::optional<RateBook> book;
+    std::uint64_t process = 0;
+    Instant paused_until{};
+    std::deque<Waiting> waiting;
+    Instant retry_at{};  ///< Time of the one pending retry.
+    std::uint64_t bytes = 0;
+  };
+  struct Event {
+    Instant time;
+    std::uint64_t order;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::tie(other.time, other.order) < std::tie(time, order);
+    }
+  };
+  struct Organisation {
+    OrganisationId id;
+    ReferenceBucket offered;
+    ReferenceBucket admitted;
+    Count count;
+  };
+
+  void Start(int host);
+  void OnHost(int host, std::uint64_t process, std::function<void()> action);
+  void Tick(int host);
+  void TickLater(int host, std::uint64_t process);
+  void ContactLater(int host, std::uint64_t process);
+  void Send(int from, RateBook::Outgoing message);
+  void Deliver(int from, int to, const RateBook::Outgoing& message);
+  void Retry(int host);
+  void RetryAt(int host, Instant time);
+  bool Settle(int host, const Waiting& request);
+  bool Reachable(int from, int to) const;
+  Duration Delay(int from, int to);
+  double Uniform() { return std::uniform_real_distribution<>()(random_); }
+
+  Options options_;
+  Random random_;
+  Instant now_{std::chrono::seconds(1000)};
+  std::priority_queue<Event> events_;
+  std::uint64_t order_ = 0;
+  std::shared_ptr<const Configuration> configuration_;
+  std::vector<Host> hosts_;
+  std::map<HostId, int> index_;
+  std::vector<bool> side_;
+  std::vector<Organisation> organisations_;
+  std::uint64_t messages_ = 0;
+  std::uint64_t requests_ = 0;
+  std::string trace_;
+};
+
+}  // namespace lentilcross
