Keep downstream waits and noise out of the limit and the levels

Change: BeginOnward and EndOnward take the wait for onward calls out of the limit; a probe drains and then measures at 0.85 of the estimate; the router weighs a target's shed ratio; capacity is forgotten far above demand; demand and capacity are averaged over 300 calls.

--- a/include/lentilcross/admission.h
+++ b/include/lentilcross/admission.h
@@ -42,20 +42,30 @@
     int ok = 0;
     int refused = 0;
     double latency_sum = 0;  ///< Seconds, of calls that ended well.
-    bool bound = false;      ///< The limit was reached.
+    int bound = 0;           ///< Calls that ended while the limit was reached.
   };
-  void CloseWindow(double seconds, Instant now);
-  void Adjust(double latency, double throughput);
-  void LearnBase(double latency);
+  /// Slow start doubles the limit until latency rises. To refresh the latency
+  /// without queueing, calls in flight are first drained below the estimate and
+  /// then measured for one window.
+  enum class Phase : std::uint8_t {
+    kStarting,
+    kRunning,
+    kDraining,
+    kMeasuring
+  };
+  bool WindowIsComplete(Instant now) const;
+  void CloseWindow(Instant now);
+  void Adjust(double latency, double throughput, double bound_share);
+  void FinishProbe(double latency, double throughput);
+  void MoveLimit(double bound_share);
 
   Init init_;
   double limit_;
   double base_ = 0;        ///< Seconds; 0: unknown.
   double throughput_ = 0;  ///< Calls per second while the limit was reached.
   double latency_ = 0;     ///< Seconds, mean of the last window.
-  bool starting_ = true;   ///< Slow start: doubles until latency rises.
-  bool probing_ = false;   ///< Runs below the estimate to refresh `base_`.
-  int since_probe_ = 0;
+  Phase phase_ = Phase::kStarting;
+  int until_probe_ = 0;  ///< Windows in which the limit is reached.
   Instant last_sample_{};
   Window window_;
 };
@@ -68,6 +78,8 @@
     ConcurrencyLimit::Init limit;
     std::size_t max_queued = LENTILCROSS_CONFIG_MAX_QUEUED_CALLS;
     Duration longest_queue = std::chrono::milliseconds(50);
+    /// Most started calls, those that wait for onward calls included.
+    std::size_t max_started = LENTILCROSS_CONFIG_MAX_STARTED_CALLS;
   };
   struct Stats {
     std::uint64_t admitted = 0;
@@ -104,6 +116,12 @@
   /// A started call ended.
   Actions Finish(std::uint64_t number, ConcurrencyLimit::Sample sample,
                  Instant now);
+  /// A started call waits for an onward call of its target, or goes on. The
+  /// wait takes no room and does not count as latency of this target, so that a
+  /// slow service behind it does not shrink its limit. Nested waits are
+  /// counted.
+  Actions BeginOnward(std::uint64_t number, Instant now);
+  void EndOnward(std::uint64_t number, Instant now);
   /// A queued call was cancelled. False if it is not queued.
   bool Cancel(std::uint64_t number);
   /// Drops expired entries. Call every 5 ms while something is queued.
@@ -115,7 +133,9 @@
   /// entry. 0: none.
   std::uint32_t level(OrganisationId organisation, Instant now) const;
   int limit() const;
+  /// Started calls that do not wait for an onward call.
   int in_flight() const;
+  std::size_t started() const;
   std::size_t queued() const;
   const Stats& stats() const;
 
--- a/include/lentilcross/routing.h
+++ b/include/lentilcross/routing.h
@@ -62,6 +62,7 @@
     int outstanding = 0;
     int consecutive_failures = 0;
     double failure_ratio = 0;  ///< Moving average.
+    double shed_ratio = 0;     ///< Moving average.
     bool ejected = false;
     int ejection_count = 0;  ///< Ejections without a lasting success between.
     int probes_out = 0;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -27,6 +27,9 @@
 
   struct Running {
     Instant started{};
+    int onward_calls = 0;
+    Instant onward_since{};
+    Duration onward{};  ///< Time spent waiting for onward calls.
   };
 
   void Start(const Entry& entry, Instant now, Actions& actions);
@@ -36,8 +39,9 @@
   void DropExpired(Instant now, Actions& actions);
   void Observe(Instant now);
   bool has_room() const {
-    return static_cast<int>(running.size()) < limit.limit();
+    return in_flight() < limit.limit() && running.size() < init.max_started;
   }
+  int in_flight() const { return static_cast<int>(running.size()) - waiting; }
   std::size_t queue_bound() const;
 
   Init init;
@@ -45,6 +49,7 @@
   CallQueue queue;
   LevelEstimator levels{Instant{}};
   std::unordered_map<std::uint64_t, Running> running;
+  int waiting = 0;  ///< Running calls that wait for an onward call.
   Instant queue_empty_at{};
   Stats stats;
 };
@@ -58,7 +63,7 @@
 
 void TargetAdmission::Impl::Start(const Entry& entry, Instant now,
                                   Actions& actions) {
-  running[entry.number] = {now};
+  running[entry.number].started = now;
   queue.CountStart(entry.organisation, entry.weight, now);
   levels.CountStart(entry.importance);
   ++stats.admitted;
@@ -146,8 +151,12 @@
   Impl& impl = *impl_;
   const auto found = impl.running.find(number);
   if (found == impl.running.end()) return actions;
-  impl.limit.Record(sample, now - found->second.started,
-                    static_cast<int>(impl.running.size()), now);
+  if (found->second.onward_calls > 0) {
+    found->second.onward_calls = 1;
+    EndOnward(number, now);
+  }
+  const Duration latency = now - found->second.started - found->second.onward;
+  impl.limit.Record(sample, latency, impl.in_flight(), now);
   impl.running.erase(found);
   impl.DropExpired(now, actions);
   impl.StartQueued(now, actions);
@@ -155,6 +164,29 @@
   return actions;
 }
 
+TargetAdmission::Actions TargetAdmission::BeginOnward(std::uint64_t number,
+                                                      Instant now) {
+  Actions actions;
+  const auto found = impl_->running.find(number);
+  if (found == impl_->running.end()) return actions;
+  Impl::Running& call = found->second;
+  if (++call.onward_calls > 1) return actions;
+  call.onward_since = now;
+  ++impl_->waiting;
+  impl_->DropExpired(now, actions);
+  impl_->StartQueued(now, actions);
+  return actions;
+}
+
+void TargetAdmission::EndOnward(std::uint64_t number, Instant now) {
+  const auto found = impl_->running.find(number);
+  if (found == impl_->running.end()) return;
+  Impl::Running& call = found->second;
+  if (call.onward_calls == 0 || --call.onward_calls > 0) return;
+  call.onward += now - call.onward_since;
+  --impl_->waiting;
+}
+
 bool TargetAdmission::Cancel(std::uint64_t number) {
   return impl_->queue.Remove(number);
 }
@@ -177,9 +209,9 @@
 
 int TargetAdmission::limit() const { return impl_->limit.limit(); }
 
-int TargetAdmission::in_flight() const {
-  return static_cast<int>(impl_->running.size());
-}
+int TargetAdmission::in_flight() const { return impl_->in_flight(); }
+
+std::size_t TargetAdmission::started() const { return impl_->running.size(); }
 
 std::size_t TargetAdmission::queued() const { return impl_->queue.size(); }
 
--- a/src/level_estimator.cpp
+++ b/src/level_estimator.cpp
@@ -18,10 +18,16 @@
 constexpr double kHashes = static_cast<double>(1U << kRankHashBits);
 // Gates let slightly more through than the measured capacity: an idle slot is
 // lost goodput, a call that is shed here cost only the work before it.
-constexpr double kSurplus = 1.02;
+constexpr double kSurplus = 1.05;
 constexpr double kGrowth = 1.1;
+constexpr double kFarAbove = 1.5;
 constexpr double kSmoothing = 0.3;
 constexpr double kFewestKept = 0.02;
+// Demand is averaged over this many calls of the organisation, within bounds:
+// fewer make the level of a small organisation noise, more are slow to follow.
+constexpr double kSamples = 300;
+constexpr double kShortestMemory = 0.15;
+constexpr double kLongestMemory = 2;
 constexpr int kFillSteps = 30;
 
 std::uint32_t LevelAt(int importance, double refused_share) {
@@ -78,26 +84,43 @@
   start_rate_ += kSmoothing * (rate - start_rate_);
   if (shed_ > 0 && !idle_) {
     const double sustained = kSurplus * rate;
-    capacity_ = capacity_ == 0
-                    ? sustained
-                    : capacity_ + kSmoothing * (sustained - capacity_);
+    const double memory = std::clamp(kSamples / std::max(rate, 1.0),
+                                     kShortestMemory, kLongestMemory);
+    const double weight = capacity_ == 0 ? 1 : 1 - std::exp(-seconds / memory);
+    capacity_ += weight * (sustained - capacity_);
   } else if (idle_ && capacity_ > 0) {
     capacity_ = std::max(capacity_ * kGrowth, ceiling);
   }
+  // Far above the demand it limits nothing, and coming back down takes long.
+  if (capacity_ > kFarAbove * TotalDemand()) capacity_ = 0;
+}
+
+double LevelEstimator::TotalDemand() const {
+  double total = 0;
+  for (const auto& [id, organisation] : organisations_) {
+    for (const Demand& demand : organisation.demands) total += demand.rate;
+  }
+  return total;
 }
 
 void LevelEstimator::EstimateDemand(Organisation& organisation,
-                                    double seconds) const {
+                                    double seconds) {
+  double total = 0;
+  for (const Demand& demand : organisation.demands) total += demand.rate;
+  const double memory = std::clamp(kSamples / std::max(total, 1.0),
+                                   kShortestMemory, kLongestMemory);
+  const double decay = std::exp(-seconds / memory);
   for (int i = 0; i < kImportanceCount; ++i) {
     Demand& demand = organisation.demands[static_cast<std::size_t>(i)];
     const double kept = KeptShare(i, organisation.highest_recent);
-    if (kept > 0) {
-      const double rate = demand.unshed / seconds / std::max(kept, kFewestKept);
-      demand.rate += kSmoothing * (rate - demand.rate);
-    } else {
-      // Gates refuse all of it: what arrives is only a lower bound.
+    if (kept < kFewestKept) {
+      // Gates refuse most of it: what arrives is only a lower bound.
       demand.rate = std::max(demand.rate, demand.seen / seconds);
+      continue;
     }
+    demand.calls = demand.calls * decay + demand.unshed;
+    demand.exposure = demand.exposure * decay + seconds * kept;
+    demand.rate = demand.calls / demand.exposure;
   }
 }
 
--- a/src/level_estimator.h
+++ b/src/level_estimator.h
@@ -32,9 +32,11 @@
  private:
   static constexpr std::size_t kRecentLevels = 10;
   struct Demand {
-    int seen = 0;     ///< Arrivals of this window.
-    int unshed = 0;   ///< Those that no gate may have refused.
-    double rate = 0;  ///< Estimate of calls per second before shedding.
+    int seen = 0;         ///< Arrivals of this window.
+    int unshed = 0;       ///< Those that no gate may have refused.
+    double calls = 0;     ///< Decaying sum of `unshed`.
+    double exposure = 0;  ///< Decaying seconds, times the part not refused.
+    double rate = 0;      ///< Calls per second before shedding.
   };
   struct Organisation {
     double weight = 1;
@@ -45,7 +47,8 @@
     double share = 0;  ///< Calls per second given at the marginal importance.
   };
   void EstimateCapacity(double seconds, double ceiling);
-  void EstimateDemand(Organisation& organisation, double seconds) const;
+  static void EstimateDemand(Organisation& organisation, double seconds);
+  double TotalDemand() const;
   void ComputeLevels();
   int FindMarginal(double& remaining) const;
   double Shares(int marginal, double fill);
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -123,7 +123,9 @@
   return nullptr;
 }
 
-// Outstanding work per weight; the weight grows during slow start.
+// Outstanding work per weight. The weight grows during slow start, and is lower
+// for a target that sheds: refusals come back fast, so that its outstanding
+// work alone would attract more calls.
 double Router::Load(const Target& target, Instant now) const {
   double weight = 1;
   if (target.ramp_start != Instant{} && init_.slow_start > Duration::zero()) {
@@ -131,6 +133,7 @@
         Seconds(now - target.ramp_start) / Seconds(init_.slow_start);
     weight = std::clamp(grown, kSmallestWeight, 1.0);
   }
+  weight *= std::max(kSmallestWeight, 1 - target.shed_ratio);
   return (target.outstanding + 1) / weight;
 }
 
@@ -220,9 +223,11 @@
   const bool failed = observation == Observation::kFailed ||
                       observation == Observation::kRefused;
   if (!failed) {
-    double& shed = service.shed_ratio[static_cast<std::size_t>(state.distance)];
-    shed += kShedSmoothing *
-            ((observation == Observation::kShed ? 1.0 : 0.0) - shed);
+    const double shed = observation == Observation::kShed ? 1 : 0;
+    double& nearby =
+        service.shed_ratio[static_cast<std::size_t>(state.distance)];
+    nearby += kShedSmoothing * (shed - nearby);
+    state.shed_ratio += kShedSmoothing * (shed - state.shed_ratio);
   }
   if (state.ejected) {
     EndProbe(state, !failed, now);
--- a/tools/bench/node.cpp
+++ b/tools/bench/node.cpp
@@ -134,8 +134,18 @@
     Complete(number, {CallEnd::kLate, held.extra, {}});
     return;
   }
+  CallOnward(number);
+}
+
+void Node::CallOnward(std::uint64_t number) {
+  const bool controlled = world_.policy == Policy::kLentilcross;
+  if (controlled) Apply(admission_.BeginOnward(number, world_.loop.now()));
+  const Held held = held_.at(number);
   caller_.Call(hop_ + 1, held.request, held.extra,
-               [this, number](const CallReply& reply) {
+               [this, number, controlled](const CallReply& reply) {
+                 if (controlled) {
+                   admission_.EndOnward(number, world_.loop.now());
+                 }
                  CallReply own = reply;
                  if (own.end != CallEnd::kOk && own.end != CallEnd::kLate) {
                    own.end = CallEnd::kBehind;
