Age the demand estimate of importances that gates refuse

Cause: while a level hid an importance, its estimate was the highest count of any 50 ms window, so that a small organisation seemed to want several times its demand and was refused most of it.

--- a/src/level_estimator.cpp
+++ b/src/level_estimator.cpp
@@ -110,17 +110,18 @@
   const double memory = std::clamp(kSamples / std::max(total, 1.0),
                                    kShortestMemory, kLongestMemory);
   const double decay = std::exp(-seconds / memory);
+  const double aging = std::exp(-seconds / kLongestMemory);
   for (int i = 0; i < kImportanceCount; ++i) {
     Demand& demand = organisation.demands[static_cast<std::size_t>(i)];
     const double kept = KeptShare(i, organisation.highest_recent);
-    if (kept < kFewestKept) {
-      // Gates refuse most of it: what arrives is only a lower bound.
-      demand.rate = std::max(demand.rate, demand.seen / seconds);
-      continue;
-    }
-    demand.calls = demand.calls * decay + demand.unshed;
-    demand.exposure = demand.exposure * decay + seconds * kept;
-    demand.rate = demand.calls / demand.exposure;
+    // Where gates refuse most of it, what arrives is only a lower bound, and
+    // the last estimate ages.
+    const bool hidden = kept < kFewestKept;
+    demand.calls =
+        demand.calls * decay + (hidden ? demand.seen : demand.unshed);
+    demand.exposure = demand.exposure * decay + seconds * (hidden ? 1 : kept);
+    const double measured = demand.calls / demand.exposure;
+    demand.rate = hidden ? std::max(measured, demand.rate * aging) : measured;
   }
 }
 
