--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -29,3 +29,9 @@
     lentilcross_add_test(${source} lentilcross_daemon)
   endforeach()
 endif()
+
+if(TARGET lentilcross)
+  add_test(NAME command COMMAND ${CMAKE_SOURCE_DIR}/tests/command_test.sh
+                                $<TARGET_FILE:lentilcross>)
+  set_tests_properties(command PROPERTIES TIMEOUT 120)
+endif()
--- a/src/load_report.cpp
+++ b/src/load_report.cpp
@@ -129,6 +129,11 @@
   char* end = nullptr;
   expectation.number = std::strtod(number.c_str(), &end);
   if (number.empty() || *end != '\0') return std::nullopt;
+  try {
+    (void)nlohmann::json::json_pointer(expectation.pointer);
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
   return expectation;
 }
 
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -301,8 +301,8 @@
   WriteRouting(out, stats);
   WriteConfiguration(out, stats);
   WritePeers(out, stats.peers);
-  WriteFront(out, "caller", stats.caller);
-  WriteFront(out, "onward", stats.onward);
+  WriteFront(out, "caller_listener", stats.caller);
+  WriteFront(out, "onward_listener", stats.onward);
   WriteTargetClient(out, stats.target_client);
   WriteTargets(out, stats.targets);
   out.Counter("ring_to_control_full_total", "Messages dropped: ring full.",
