--- a/tools/capacity/measure_configuration.cpp
+++ b/tools/capacity/measure_configuration.cpp
@@ -64,6 +64,7 @@
 
     std::uint64_t version = 1;
     std::vector<std::string> texts;
+    texts.reserve(kParses);
     for (int i = 0; i < kParses; ++i) {
       texts.push_back(FleetDocument(size, ++version));
     }
--- a/tools/capacity/measure_requests.cpp
+++ b/tools/capacity/measure_requests.cpp
@@ -44,6 +44,7 @@
     Instant now = Instant() + std::chrono::seconds(1);
     book.Apply(configuration, now);
     std::vector<OrganisationId> ids;
+    ids.reserve(static_cast<std::size_t>(organisations));
     for (int i = 0; i < organisations; ++i) {
       ids.push_back(OrganisationId::FromName(OrganisationName(i)));
     }
