--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -27,7 +27,8 @@
   # Fakes and running daemons that these tests share.
   add_library(lentilcross_daemon_testing STATIC tests/daemon/fakes.cpp
                                                 tests/daemon/fleet.cpp
-                                                tests/daemon/raw_peer.cpp)
+                                                tests/daemon/raw_peer.cpp
+                                                tests/daemon/relay.cpp)
   target_include_directories(lentilcross_daemon_testing
                              PUBLIC ${CMAKE_SOURCE_DIR}/tests)
   target_link_libraries(lentilcross_daemon_testing PUBLIC lentilcross_daemon)
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -112,6 +112,10 @@
       {"peer", ToText(daemons_[host]->daemon().peer())}};
 }
 
+void Fleet::SetPeerAddress(const std::string& host, const Endpoint& endpoint) {
+  document_["hosts"][host]["peer"] = ToText(endpoint);
+}
+
 void Fleet::AddRoute(const std::string& prefix, const std::string& service,
                      const Json& fields) {
   Json route = {{"service", service},
--- /dev/null
+++ b/tests/daemon/relay.cpp
@@ -0,0 +1,79 @@
+#include "daemon/relay.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+
+namespace lentilcross::testing {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+struct Relay::Pair {
+  explicit Pair(tcp::socket accepted, boost::asio::io_context& io)
+      : from(std::move(accepted)), to(io) {}
+
+  tcp::socket from;
+  tcp::socket to;
+  std::array<std::array<char, 16384>, 2> buffers{};
+  bool silent = false;
+};
+
+Relay::Relay(const Endpoint& to)
+    : acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+      to_(boost::asio::ip::make_address(to.ip), to.port),
+      port_(acceptor_.local_endpoint().port()) {
+  Accept();
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+Relay::~Relay() {
+  io_.stop();
+  thread_.join();
+}
+
+void Relay::Silence() {
+  std::promise<void> done;
+  boost::asio::post(io_, [&] {
+    for (const auto& pair : pairs_) pair->silent = true;
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void Relay::Accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error) return;
+    auto pair = std::make_shared<Pair>(std::move(socket), io_);
+    error_code failed;
+    pair->to.connect(to_, failed);
+    if (!failed) {
+      pairs_.push_back(pair);
+      Forward(pair, false);
+      Forward(pair, true);
+    }
+    Accept();
+  });
+}
+
+void Relay::Forward(const std::shared_ptr<Pair>& pair, bool back) {
+  tcp::socket& source = back ? pair->to : pair->from;
+  tcp::socket& sink = back ? pair->from : pair->to;
+  auto& buffer = pair->buffers[back ? 1 : 0];
+  source.async_read_some(
+      boost::asio::buffer(buffer),
+      [this, pair, back, &sink, &buffer](error_code error, std::size_t size) {
+        if (pair->silent) return;
+        error_code failed;
+        if (error) {
+          pair->from.close(failed);
+          pair->to.close(failed);
+          return;
+        }
+        boost::asio::write(sink, boost::asio::buffer(buffer, size), failed);
+        if (!failed) Forward(pair, back);
+      });
+}
+
+}  // namespace lentilcross::testing
--- /dev/null
+++ b/tests/daemon/relay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "daemon_init.h"
+
+namespace lentilcross::testing {
+
+/// TCP relay in front of one address. Its connections can go silent: they stay
+/// open and carry no byte any more, while new ones work.
+class Relay {
+ public:
+  explicit Relay(const Endpoint& to);
+  ~Relay();
+
+  Endpoint endpoint() const { return {"127.0.0.1", port_}; }
+  /// Silences all connections that are open now.
+  void Silence();
+
+ private:
+  struct Pair;
+  void Accept();
+  void Forward(const std::shared_ptr<Pair>& pair, bool back);
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint to_;
+  std::uint16_t port_ = 0;
+  std::vector<std::shared_ptr<Pair>> pairs_;
+  std::thread thread_;
+};
+
+}  // namespace lentilcross::testing
