Let a borrower name every grant that it still holds

A newer grant that is smaller or shorter than the loans already passed on no longer blocks renewal: the request lists the older grants that are still needed.

--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -115,16 +115,22 @@
   double burst = 0;  ///< Tokens.
 };
 
+/// Level that a borrower keeps of one grant.
+struct HeldLevel {
+  Quota quota;
+  std::uint32_t grant = 0;  ///< Number of the request that it answered.
+  std::uint16_t part = 0;
+};
+
 /// State of a borrower towards one lender, for one organisation. The borrower
 /// lowers what it holds to `held` before it sends this.
 struct LoanAsk {
   OrganisationId organisation;
-  Quota want;               ///< Level to hold after the grant.
-  Quota held;               ///< Level still held of grant `grant`.
-  double need = 0;          ///< Tokens wanted with the grant.
-  double returned = 0;      ///< Unused tokens given back with this message.
-  std::uint32_t grant = 0;  ///< Last grant accepted; 0: none.
-  std::uint16_t part = 0;   ///< Last part of it accepted.
+  Quota want;           ///< Level to hold after the grant.
+  double need = 0;      ///< Tokens wanted with the grant.
+  double returned = 0;  ///< Unused tokens given back with this message.
+  /// By age; the last is the newest grant accepted. It holds the highest.
+  std::vector<HeldLevel> held;
 };
 
 /// Numbers increase within one borrower process, over requests and returns.
--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::size_t kMaxSteps = 16;
-constexpr std::size_t kMaxLevels = 8;
 constexpr std::size_t kMaxBorrowers = 4096;
 // Absorbs rounding when levels are added and subtracted.
 constexpr double kRounding = 1e-9;
@@ -94,15 +93,24 @@
   time_ = time;
 }
 
+// Keeps the newest: its number tells which messages are older.
+void RateAccount::DropEnded(std::vector<QuotaSlot>& levels, Instant time) {
+  if (levels.empty()) return;
+  const auto ended = [time](const QuotaSlot& slot) {
+    return slot.until <= time;
+  };
+  levels.erase(std::remove_if(levels.begin(), levels.end() - 1, ended),
+               levels.end() - 1);
+}
+
 int RateAccount::ApplyEnded(Instant time) {
   int count = 0;
   for (Borrowed& loan : borrowed_) {
-    for (QuotaSlot& slot : loan.levels) {
-      if (slot.until > time || slot.quota.burst == 0) continue;
-      slot.quota = {};
-      ++count;
-    }
+    if (loan.levels.empty()) continue;
+    if (loan.until() == time && loan.levels.back().quota.burst > 0) ++count;
+    DropEnded(loan.levels, time);
   }
+  for (Lent& lent : lent_) DropEnded(lent.levels, time);
   Recompute(time);
   return count;
 }
@@ -143,47 +151,49 @@
   return nullptr;
 }
 
-Quota RateAccount::LeastLevel(const Borrowed& loan) const {
+Quota RateAccount::LeastLevel(const Borrowed& loan, Instant from,
+                              Instant until) const {
   Quota least;
-  for (const Instant end : CapacityEnds()) {
-    if (end < time_ || end >= loan.until()) continue;
-    const Quota others = CapacityAt(end) - loan.At(end);
-    least = Max(least, CommittedAt(end) - others);
-  }
+  const auto consider = [&](Instant time) {
+    if (time < from || time >= until) return;
+    const Quota others = CapacityAt(time) - loan.At(time);
+    least = Max(least, CommittedAt(time) - others);
+  };
+  consider(from);
+  for (const Instant end : CapacityEnds()) consider(end);
   return least;
 }
 
-bool RateAccount::CoversLent() const {
-  for (const Instant end : CapacityEnds()) {
-    if (end < time_) continue;
-    if (Exceeds(CommittedAt(end), CapacityAt(end))) return false;
-  }
-  return true;
-}
-
-void RateAccount::DropReplaced(Borrowed& loan) {
+// What was lent on stays lent until it ends or is given back.
+void RateAccount::LowerTo(Borrowed& loan, Quota keep) const {
   std::vector<QuotaSlot>& levels = loan.levels;
-  if (levels.size() < 2) return;
-  std::vector<QuotaSlot> all = levels;
-  levels.assign(1, all.back());
-  if (!CoversLent()) levels.swap(all);
+  std::vector<QuotaSlot> lowered;
+  const QuotaSlot& newest = levels.back();
+  const Instant newest_end = std::max(newest.until, time_);
+  const Quota now_needed = LeastLevel(loan, time_, newest_end);
+  const bool covers = !Exceeds(now_needed, newest.quota);
+  for (std::size_t i = 0; i + 1 < levels.size(); ++i) {
+    QuotaSlot slot = levels[i];
+    const Instant from = covers ? newest_end : time_;
+    slot.quota = Min(slot.quota, LeastLevel(loan, from, slot.until));
+    if (slot.quota.rate > 0 || slot.quota.burst > 0) lowered.push_back(slot);
+  }
+  lowered.push_back(newest);
+  lowered.back().quota = Min(newest.quota, Max(keep, now_needed));
+  levels.swap(lowered);
 }
 
 LoanAsk RateAccount::Declare(HostId lender, Quota keep, double returned) {
   LoanAsk ask;
   Borrowed* loan = FindBorrowed(lender);
   if (loan == nullptr || loan->levels.empty()) return ask;
-  DropReplaced(*loan);
-  QuotaSlot& oldest = loan->levels.front();
-  const Quota before = oldest.quota;
-  // What was lent on stays lent until it ends or is given back.
-  if (loan->levels.size() == 1) {
-    oldest.quota = Min(before, Max(keep, LeastLevel(*loan)));
+  const Quota before = loan->At(time_);
+  LowerTo(*loan, keep);
+  for (const QuotaSlot& slot : loan->levels) {
+    ask.held.push_back({slot.quota, slot.number, slot.part});
   }
-  ask.held = oldest.quota;
-  ask.grant = oldest.number;
-  ask.part = oldest.part;
-  ask.returned = std::min({returned, tokens(), before.burst - ask.held.burst});
+  const Quota freed = before - loan->At(time_);
+  ask.returned = std::min({returned, tokens(), freed.burst});
   tokens_ -= ask.returned;
   Recompute(time_);
   return ask;
@@ -202,28 +212,28 @@
     if (number < last.number) return false;
     if (number == last.number && loan.part <= last.part) return false;
   }
-  if (levels.size() >= kMaxLevels) return false;
+  if (levels.size() >= kMaxLoanLevels) return false;
   levels.push_back({loan.quota, until, number, loan.part});
   known->since = time_;
-  DropReplaced(*known);
   tokens_ += loan.tokens;
   Recompute(time_);
   return true;
 }
 
-void RateAccount::Confirm(Lent& lent, const LoanAsk& ask) const {
-  // Older grants were replaced by the one named; newer ones may still arrive.
-  std::vector<QuotaSlot>& levels = lent.levels;
-  QuotaSlot named{{}, {}, ask.grant, ask.part};
-  auto it = levels.begin();
-  for (; it != levels.end() && !it->IsNewerThan(ask); ++it) {
-    named.quota = Max(named.quota, it->At(time_));
-    named.until = std::max(named.until, it->until);
-    if (!it->IsOlderThan(ask)) named = *it;
+void RateAccount::Confirm(Lent& lent, const LoanAsk& ask) {
+  if (ask.held.empty()) return;
+  std::vector<QuotaSlot> kept;
+  for (QuotaSlot slot : lent.levels) {
+    // Newer grants may still arrive there.
+    bool keep = slot.IsNewerThan(ask.held.back());
+    for (const HeldLevel& held : ask.held) {
+      if (!slot.Is(held)) continue;
+      slot.quota = Min(slot.quota, held.quota);
+      keep = true;
+    }
+    if (keep) kept.push_back(slot);
   }
-  named.quota = Min(named.quota, ask.held);
-  it = levels.erase(levels.begin(), it);
-  if (ask.grant != 0) levels.insert(it, named);
+  lent.levels.swap(kept);
 }
 
 Lent* RateAccount::OnDeclared(HostId borrower, Incarnation incarnation,
@@ -294,15 +304,7 @@
 }
 
 void RateAccount::Grant(Lent& lent, const Loan& loan, Instant until) {
-  std::vector<QuotaSlot>& levels = lent.levels;
-  QuotaSlot slot{loan.quota, until, lent.last_number, loan.part};
-  if (levels.size() >= kMaxLevels) {
-    // One entry that covers two grants.
-    slot.quota = Max(slot.quota, levels.back().At(time_));
-    slot.until = std::max(slot.until, levels.back().until);
-    levels.pop_back();
-  }
-  levels.push_back(slot);
+  lent.levels.push_back({loan.quota, until, lent.last_number, loan.part});
   tokens_ -= loan.tokens;
   Recompute(time_);
 }
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -12,6 +12,9 @@
 /// Upper limit of `RateBook::Init::loan_term`.
 inline constexpr Duration kLongestLoanTerm = std::chrono::seconds(10);
 
+/// Most grants that one borrower may hold of one lender.
+inline constexpr std::size_t kMaxLoanLevels = 8;
+
 Quota operator+(Quota a, Quota b);
 Quota operator-(Quota a, Quota b);
 Quota Min(Quota a, Quota b);
@@ -24,14 +27,13 @@
   std::uint32_t number = 0;  ///< Request that the grant answers.
   std::uint16_t part = 0;    ///< Which of several grants for it.
 
-  bool IsNewerThan(const LoanAsk& ask) const {
-    return number > ask.grant || (number == ask.grant && part > ask.part);
+  Quota At(Instant time) const { return until > time ? quota : Quota{}; }
+  bool IsNewerThan(const HeldLevel& held) const {
+    return number > held.grant || (number == held.grant && part > held.part);
   }
-  bool IsOlderThan(const LoanAsk& ask) const {
-    return number < ask.grant || (number == ask.grant && part < ask.part);
+  bool Is(const HeldLevel& held) const {
+    return number == held.grant && part == held.part;
   }
-
-  Quota At(Instant time) const { return until > time ? quota : Quota{}; }
 };
 
 Quota MostAt(const std::vector<QuotaSlot>& levels, Instant time);
@@ -42,8 +44,7 @@
   Incarnation incarnation;
   bool onward = false;  ///< Borrowed quota may be lent on to it.
   std::uint32_t last_number = 0;
-  /// Grants by age, from the last one that the borrower is known to have. It
-  /// holds one of these.
+  /// Grants by age: those that the borrower named and all newer ones.
   std::vector<QuotaSlot> levels;
   // Open wishes of the last request.
   Quota want;
@@ -60,8 +61,8 @@
 /// What this host holds of a lender's quota.
 struct Borrowed {
   HostId lender;
-  /// Grants by age. More than one only while the newest does not cover what was
-  /// lent on; the lender counts all of them until this host names a later one.
+  /// Grants by age. Older ones are kept up to the next message to the lender,
+  /// and beyond if the newest does not cover what was lent on.
   std::vector<QuotaSlot> levels;
   Instant since{};  ///< When the newest was accepted.
 
@@ -135,17 +136,17 @@
   void PruneSteps(Instant time);
   void Recompute(Instant time);
   Instant NextEvent() const;
-  void Confirm(Lent& lent, const LoanAsk& ask) const;
+  static void Confirm(Lent& lent, const LoanAsk& ask);
+  static void DropEnded(std::vector<QuotaSlot>& levels, Instant time);
   Quota OwnAt(Instant time) const { return time < own_until_ ? own_ : Quota{}; }
   Quota CapacityAt(Instant time) const;
   Quota CommittedAt(Instant time) const;
   Quota OwnCommittedAt(Instant time) const;
   std::vector<Instant> CapacityEnds() const;
-  void DropReplaced(Borrowed& loan);
+  void LowerTo(Borrowed& loan, Quota keep) const;
   Borrowed* FindBorrowed(HostId lender);
-  /// Least that must be kept of a loan to cover what is lent on.
-  Quota LeastLevel(const Borrowed& loan) const;
-  bool CoversLent() const;
+  /// Least that must be kept of a loan in a period to cover what is lent on.
+  Quota LeastLevel(const Borrowed& loan, Instant from, Instant until) const;
 
   std::vector<Step> steps_;
   Duration handover_{};
--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -267,8 +267,9 @@
                          Instant now) {
   LoanAsk ask = org.account.Declare(lender.host, keep, returned);
   ask.organisation = org.id;
-  ask.want = {std::max(want_more.rate, ask.held.rate),
-              ask.held.burst + need + want_more.burst};
+  const Quota held = org.account.LevelFrom(lender.host);
+  ask.want = {std::max(want_more.rate, held.rate),
+              held.burst + need + want_more.burst};
   ask.need = need;
   if (!lender.unanswered) lender.waiting_since = now;
   lender.unanswered = true;
--- a/src/rate_lender.cpp
+++ b/src/rate_lender.cpp
@@ -25,8 +25,10 @@
 
 bool IsValid(const LoanAsk& ask) {
   return IsAmount(ask.want.rate) && IsAmount(ask.want.burst) &&
-         IsAmount(ask.held.rate) && IsAmount(ask.held.burst) &&
-         IsAmount(ask.need) && IsAmount(ask.returned);
+         IsAmount(ask.need) && IsAmount(ask.returned) &&
+         std::all_of(ask.held.begin(), ask.held.end(), [](const auto& held) {
+           return IsAmount(held.quota.rate) && IsAmount(held.quota.burst);
+         });
 }
 
 // Level f such that the sum of min(wish, f) is `capacity`.
@@ -186,7 +188,7 @@
   const Duration term = std::min(
       init.loan_term, Scaled(until - now - kTakeBackMargin, 1 / kClockDrift));
   Loan loan{org.id, {}, 0, {}, lent.next_part++};
-  if (term >= kShortestTerm) {
+  if (term >= kShortestTerm && lent.levels.size() < kMaxLoanLevels) {
     loan.quota = level;
     loan.tokens = give;
     loan.term = term;
