--- /dev/null
+++ b/tests/rate_book_test.cpp
@@ -0,0 +1,186 @@
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "lentilcross/rate.h"
+#include "rate_fleet.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kRounding = 1e-6;
+
+// The invariant of design section 6.3, over all processes.
+void CheckHeldQuotas(RateFleet& fleet, Quota total) {
+  Quota sum;
+  for (int host = 0; host < fleet.hosts(); ++host) {
+    RateBook& book = *fleet.book(host);
+    const Quota held = book.held(fleet.organisation(0), fleet.now());
+    const double tokens = book.tokens(fleet.organisation(0), fleet.now());
+    RC_ASSERT(held.rate >= 0 && held.burst >= 0);
+    RC_ASSERT(tokens <= held.burst + kRounding);
+    sum.rate += held.rate;
+    sum.burst += held.burst;
+  }
+  RC_ASSERT(sum.rate <= total.rate + kRounding);
+  RC_ASSERT(sum.burst <= total.burst + kRounding);
+}
+
+// One random fault. Versions that change the owners are published only while
+// the fleet is connected; see "Not promised" in design section 6.3.
+void Disturb(RateFleet& fleet, bool is_connected) {
+  const int host = *rc::gen::inRange(0, fleet.hosts());
+  switch (*rc::gen::inRange(0, is_connected ? 4 : 3)) {
+    case 0:
+      fleet.Pause(host, milliseconds(*rc::gen::inRange(1, 9000)));
+      break;
+    case 1:
+      fleet.Restart(host);
+      break;
+    case 2:
+      fleet.SetLoss(*rc::gen::element(0.0, 0.1, 0.5));
+      break;
+    default:
+      fleet.Publish([count = *rc::gen::inRange(1, 4)](Configuration& next) {
+        next.rate_owners_per_domain = count;
+      });
+  }
+}
+
+void Partition(RateFleet& fleet) {
+  std::vector<bool> side;
+  for (int host = 0; host < fleet.hosts(); ++host) {
+    side.push_back(fleet.DomainOf(host) % 2 == 0);
+  }
+  fleet.Partition(std::move(side));
+}
+
+RateFleet::Options MakeOptions(Quota quota) {
+  RateFleet::Options options;
+  options.hosts_per_domain = *rc::gen::inRange(2, 5);
+  options.organisations = {quota};
+  options.loss = *rc::gen::element(0.0, 0.05);
+  options.duplicate = *rc::gen::element(0.0, 0.3);
+  options.jitter = milliseconds(*rc::gen::element(0, 5, 300));
+  options.seed = *rc::gen::arbitrary<std::uint64_t>();
+  return options;
+}
+
+// Sends several times the rate at a few hosts for a while.
+void Load(RateFleet& fleet, double rate, Duration duration) {
+  const int hot = *rc::gen::inRange(1, fleet.hosts() + 1);
+  const auto gap = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1 / (3 * rate)));
+  const Instant end = fleet.now() + duration;
+  while (fleet.now() < end) {
+    fleet.Arrive(static_cast<int>(fleet.random()() % hot), 0);
+    fleet.RunUntil(fleet.now() + gap);
+  }
+}
+
+}  // namespace
+
+// Guards against quota that appears twice (P4): pauses, message loss, delay,
+// duplicates, reordering, restarts, host replacement, partitions and changes of
+// owners, all at once and under overload, never admit more than rate x window +
+// burst in any window.
+BOOST_AUTO_TEST_CASE(no_window_exceeds_rate_and_burst) {
+  const auto property = [] {
+    const Quota quota = *rc::gen::element(Quota{40, 20}, Quota{100, 8},
+                                          Quota{20, 60}, Quota{10, 1.2});
+    RateFleet fleet(MakeOptions(quota));
+    fleet.on_step = [&] { CheckHeldQuotas(fleet, quota); };
+    const bool is_partitioned = *rc::gen::inRange(0, 3) == 0;
+    fleet.RunUntil(fleet.now() + seconds(11));
+    if (is_partitioned) Partition(fleet);
+    const int rounds = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < rounds; ++i) {
+      Load(fleet, quota.rate, milliseconds(*rc::gen::inRange(10, 3000)));
+      Disturb(fleet, !is_partitioned);
+    }
+    RC_ASSERT(fleet.count(0).excess == 0U);
+  };
+  BOOST_TEST(rc::check(property));
+}
+
+// Guards against an old process that was replaced and still generates tokens
+// when its successor starts to.
+BOOST_AUTO_TEST_CASE(replaced_process_stops_before_its_successor_starts) {
+  RateFleet::Options options;
+  options.domains = 1;
+  options.hosts_per_domain = 1;
+  RateFleet fleet(options);
+  fleet.RunUntil(fleet.now() + seconds(11));
+  const Instant replaced = fleet.now();
+  RateBook old = std::move(*fleet.book(0));
+  old.RecordContact(replaced, replaced);
+  fleet.Restart(0);
+  const OrganisationId organisation = fleet.organisation(0);
+  for (int i = 0; i < 200; ++i) {
+    fleet.book(0)->RecordContact(fleet.now(), fleet.now());
+    fleet.RunUntil(fleet.now() + milliseconds(100));
+    const bool old_holds = old.held(organisation, fleet.now()).rate > 0;
+    const bool new_holds =
+        fleet.book(0)->held(organisation, fleet.now()).rate > 0;
+    BOOST_TEST(!(old_holds && new_holds));
+    BOOST_TEST(new_holds == (fleet.now() >= replaced + seconds(10)));
+  }
+  BOOST_TEST(old.suspended(fleet.now()));
+}
+
+// Guards against refusals within rate when all traffic of an organisation comes
+// in at one host, and against control traffic above 3 KB/s.
+BOOST_AUTO_TEST_CASE(traffic_at_one_host_is_admitted) {
+  for (const bool at_owner : {false, true}) {
+    RateFleet fleet({});
+    int host = 0;
+    while (fleet.IsOwner(host, 0) != at_owner) ++host;
+    fleet.RunUntil(fleet.now() + seconds(11));
+    std::exponential_distribution<> gap(0.9 * 200);
+    const Instant start = fleet.now();
+    while (fleet.now() < start + seconds(20)) {
+      fleet.Arrive(host, 0);
+      fleet.RunUntil(fleet.now() +
+                     std::chrono::duration_cast<Duration>(
+                         std::chrono::duration<double>(gap(fleet.random()))));
+    }
+    const auto& count = fleet.count(0);
+    BOOST_TEST(count.excess == 0U);
+    BOOST_TEST(count.refused_within * 1000 <= count.within);
+    BOOST_TEST((count.longest_wait <= milliseconds(31)));
+    BOOST_TEST(fleet.MostBytes() <= 20U * 3000U);
+  }
+}
+
+// Guards against tokens that stay at idle owners: a burst at a host that owns
+// nothing gets all of them, also in parts of less than one token.
+BOOST_AUTO_TEST_CASE(tokens_of_idle_owners_reach_a_burst) {
+  for (const Quota quota : {Quota{200, 100}, Quota{10, 6}, Quota{2, 1.2}}) {
+    RateFleet::Options options;
+    options.organisations = {quota};
+    RateFleet fleet(options);
+    int host = 0;
+    while (fleet.IsOwner(host, 0)) ++host;
+    fleet.RunUntil(fleet.now() + seconds(25));
+    const int burst = static_cast<int>(quota.burst);
+    for (int i = 0; i < burst; ++i) fleet.Arrive(host, 0);
+    fleet.RunUntil(fleet.now() + milliseconds(50));
+    BOOST_TEST(fleet.count(0).admitted == static_cast<unsigned>(burst));
+  }
+}
+
+// Guards against control traffic for organisations without requests.
+BOOST_AUTO_TEST_CASE(idle_organisation_sends_nothing) {
+  RateFleet fleet({});
+  fleet.RunUntil(fleet.now() + seconds(11));
+  for (int i = 0; i < 50; ++i) fleet.Arrive(i % fleet.hosts(), 0);
+  fleet.RunUntil(fleet.now() + seconds(20));
+  fleet.ResetCounts();
+  fleet.RunUntil(fleet.now() + seconds(60));
+  BOOST_TEST(fleet.messages() == 0U);
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/tools/rate_compare/rate_compare.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
