--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -13,7 +13,7 @@
 inline constexpr Duration kLongestLoanTerm = std::chrono::seconds(10);
 
 /// Most grants that one borrower may hold of one lender.
-inline constexpr std::size_t kMaxLoanLevels = 8;
+inline constexpr std::size_t kMaxLoanLevels = 24;
 
 Quota operator+(Quota a, Quota b);
 Quota operator-(Quota a, Quota b);
--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -30,6 +30,7 @@
 // Asks for more than its part of each lender, as some have less.
 constexpr double kOverask = 1.5;
 constexpr Duration kAskInterval = std::chrono::milliseconds(4);
+constexpr Duration kGrownAskInterval = std::chrono::milliseconds(1);
 constexpr Duration kRateAskInterval = std::chrono::milliseconds(200);
 constexpr Duration kRenewInterval = std::chrono::milliseconds(100);
 constexpr Duration kReleaseInterval = std::chrono::milliseconds(50);
@@ -51,11 +52,18 @@
 }
 
 Duration Backoff(const Lender& lender) {
-  if (lender.failures == 0) return kAskInterval;
+  if (lender.failures == 0) {
+    return lender.unanswered ? kAskInterval : Duration::zero();
+  }
   const int doublings = std::min(lender.failures - 1, kMaxBackoffDoublings);
   return kFirstBackoff * (1 << doublings);
 }
 
+// A burst arrives while the first request of it is on its way.
+bool HasGrown(const Lender& lender, double need, Instant now) {
+  return need > 2 * lender.last_need && now - lender.asked >= kGrownAskInterval;
+}
+
 bool IsRenewalDue(const RateAccount& account, const Lender& lender,
                   Instant now) {
   for (const Borrowed& loan : account.borrowed()) {
@@ -189,8 +197,11 @@
       Drop(org, lender, now);
       continue;
     }
-    const bool more = start && level.rate < 0.9 * lender.potential.rate &&
-                      now - lender.asked >= kRateAskInterval;
+    const Quota most = lender.potential;
+    const bool is_part =
+        level.rate < 0.9 * most.rate || level.burst < 0.9 * most.burst;
+    const bool more =
+        start && is_part && now - lender.asked >= kRateAskInterval;
     if (!renew && !more) continue;
     const double need = std::max(0.0, lender.potential.burst - level.burst);
     Ask(org, lender, level, 0, {lender.potential.rate, 0}, need, now);
@@ -204,7 +215,8 @@
   const double steady =
       wishes.stock < kLeastStockForRate ? 0 : SteadyPart(wishes.demand);
   const double rate = std::max(0.0, steady - std::max(0.0, own_rate));
-  const bool ready = now - primary.asked >= Backoff(primary);
+  const bool ready = now - primary.asked >= Backoff(primary) ||
+                     HasGrown(primary, wishes.need, now);
   const double need = ready ? wishes.need : 0;
   if (wishes.urgent && now - primary.served > kServedMemory) {
     AskAll(org, wishes, now);
@@ -248,16 +260,20 @@
 // them yet, or does not answer.
 void RateBook::Impl::AskAll(RateOrg& org, const Wishes& wishes, Instant now) {
   const auto count = static_cast<double>(org.lenders.size());
-  const double part = std::min(wishes.need, wishes.need / count * kOverask);
   const Lender* primary = Primary(org, now);
   const bool is_late =
       primary->unanswered && now - primary->waiting_since > kNearAnswerLimit;
   if (!org.is_owner && !is_late) return;
   for (Lender& lender : org.lenders) {
-    if (&lender == primary || now - lender.asked < kAskAllInterval) continue;
-    if (lender.silent_until > now) continue;
-    const Quota level = org.account.LevelFrom(lender.host);
+    if (&lender == primary || lender.silent_until > now) continue;
+    // More than its part, as some have less and the need may grow.
+    const double part =
+        std::max(wishes.need / count * kOverask, lender.potential.burst / 2);
     const double need = org.is_owner ? part : wishes.need;
+    if (now - lender.asked < kAskAllInterval && !HasGrown(lender, need, now)) {
+      continue;
+    }
+    const Quota level = org.account.LevelFrom(lender.host);
     Ask(org, lender, level, 0, {level.rate, 0}, need, now);
   }
 }
--- a/src/rate_lender.cpp
+++ b/src/rate_lender.cpp
@@ -153,6 +153,7 @@
 
 void RateBook::Impl::Serve(RateOrg& org, Lent& lent, bool first, Instant now) {
   RateAccount& account = org.account;
+  if (!first && lent.levels.size() >= kMaxLoanLevels) return;
   const Quota before = lent.At(now);
   Quota room = account.held();
   if (!lent.onward) room = Min(room, account.own() - account.own_lent());
