Measure shares of organisations over 4 s

Cause: an organisation with 27 calls per second at a target varies by a fifth within 1 s, and lost its turn whenever it was above its mean. Change: starts are counted with a memory of 4 s.

--- a/src/call_queue.cpp
+++ b/src/call_queue.cpp
@@ -10,7 +10,7 @@
 
 // Shares are equal over this time. Longer lets an organisation that was idle
 // take more than its share at once; shorter is noise at few calls per second.
-constexpr double kShareSeconds = 1.0;
+constexpr double kShareSeconds = 4.0;
 constexpr double kIdleUse = 0.01;
 
 double Decay(Duration elapsed) {
