--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -209,16 +209,25 @@
   }
 };
 
+template <>
+struct Schema<HeldLevel> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Record(m.quota);
+    v.Integer(m.grant);
+    v.Integer(m.part);
+  }
+};
+
 template <>
 struct Schema<LoanAsk> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
     v.Identifier(m.organisation, IdRule::kRequired);
     v.Record(m.want);
-    v.Record(m.held);
     v.Quantity(m.need);
     v.Quantity(m.returned);
-    v.Integer(m.grant);
+    v.List(m.held, kMaxListSize);
   }
 };
 
