Retry at another target without the budget when a daemon is leaving

A refusal as draining is proven not run and ends once the sender has heard of the shutdown. Without saved-up retry budget, such a request was answered with 503 although other targets were free.

The fakes of the daemon tests now own the requests that they hold: an exchange that outlived its server was a use after free (AddressSanitizer). The shutdown test waits until the entry daemon has all eight requests before it starts the shutdown; with fewer, the later ones were rightly refused.

--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -244,8 +244,13 @@
     if (!IsRetryable(reply, out->request.idempotent)) return false;
     const Instant now = steady_clock::now();
     if (now >= out->request.deadline) return false;
-    return out->allowance.extra_attempts() > 0 &&
-           state.retry.TryRetry(out->request.service, now) &&
+    if (out->allowance.extra_attempts() == 0) return false;
+    // A leaving daemon refuses a sender only until that has heard of it, so
+    // these retries do not add up to an overload.
+    const Reason reason = reply.refusal.reason;
+    const bool leaving =
+        reason == Reason::kDraining || reason == Reason::kNotReady;
+    return (leaving || state.retry.TryRetry(out->request.service, now)) &&
            out->allowance.Spend();
   }
 
--- a/tests/daemon/cancellation_test.cpp
+++ b/tests/daemon/cancellation_test.cpp
@@ -7,11 +7,8 @@
 namespace lentilcross::testing {
 namespace {
 
-void Hold(FakeTarget& /*target*/, const FakeServer::Exchange& exchange) {
-  static std::mutex mutex;
-  static std::vector<FakeServer::Exchange> held;
-  const std::lock_guard<std::mutex> lock(mutex);
-  held.push_back(exchange);
+void Hold(FakeTarget& target, const FakeServer::Exchange& exchange) {
+  target.Hold(exchange);
 }
 
 void CallBack(FakeTarget& target, const FakeServer::Exchange& exchange) {
--- a/tests/daemon/fakes.cpp
+++ b/tests/daemon/fakes.cpp
@@ -33,6 +33,7 @@
   if (!thread_.joinable()) return;
   io_->stop();
   thread_.join();
+  if (on_stop) on_stop();
   server_.reset();
   work_.reset();
   io_.reset();  // destroys the connections with their handlers
@@ -89,7 +90,28 @@
 
 FakeTarget::FakeTarget(Handler handler)
     : handler_(std::move(handler)),
-      server_([this](const FakeServer::Exchange& e) { OnRequest(e); }) {}
+      server_([this](const FakeServer::Exchange& e) { OnRequest(e); }) {
+  server_.on_stop = [this] {
+    held_.clear();
+    onward_.reset();
+  };
+}
+
+void FakeTarget::Hold(const FakeServer::Exchange& exchange) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  held_.push_back(exchange);
+}
+
+void FakeTarget::AnswerHeld(const std::string& body) {
+  boost::asio::post(server_.io(), [this, body] {
+    std::vector<FakeServer::Exchange> held;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      held.swap(held_);
+    }
+    for (const auto& exchange : held) AnswerWith(body)(*this, exchange);
+  });
+}
 
 void FakeTarget::OnRequest(const FakeServer::Exchange& exchange) {
   {
--- a/tests/daemon/fakes.h
+++ b/tests/daemon/fakes.h
@@ -40,6 +40,8 @@
   boost::asio::io_context& io() { return *io_; }
   /// Closes the listener and all connections, as a killed process would.
   void Stop();
+  /// Called by `Stop` before the `io_context` is destroyed.
+  std::function<void()> on_stop;
 
  private:
   std::unique_ptr<boost::asio::io_context> io_;
@@ -90,6 +92,12 @@
   /// Set before the first onward call.
   void SetOnward(const Endpoint& onward);
 
+  /// Keeps a request without an answer. An exchange must not outlive its
+  /// server.
+  void Hold(const FakeServer::Exchange& exchange);
+  /// Answers all requests that are held.
+  void AnswerHeld(const std::string& body);
+
   std::vector<web::HttpRequest> received() const;
   /// Waits until this many requests have arrived.
   bool WaitReceived(std::size_t count) const;
@@ -103,6 +111,7 @@
   mutable std::mutex mutex_;
   mutable std::condition_variable changed_;
   std::vector<web::HttpRequest> received_;
+  std::vector<FakeServer::Exchange> held_;
   std::size_t closed_ = 0;
   std::unique_ptr<web::HttpClient> onward_;
   FakeServer server_;
--- a/tests/daemon/shutdown_test.cpp
+++ b/tests/daemon/shutdown_test.cpp
@@ -6,42 +6,16 @@
 namespace lentilcross::testing {
 namespace {
 
-/// Holds every request until `Release`.
-struct Gate {
-  FakeTarget::Handler Handler() {
-    return [this](FakeTarget&, const FakeServer::Exchange& exchange) {
-      const std::lock_guard<std::mutex> lock(mutex);
-      if (open) {
-        exchange->Reply(web::MakeResponse(200, "text/plain", "done"));
-      } else {
-        held.push_back(exchange);
-      }
-    };
-  }
-
-  void Release(FakeTarget& target) {
-    boost::asio::post(target.server().io(), [this] {
-      const std::lock_guard<std::mutex> lock(mutex);
-      open = true;
-      for (const auto& exchange : held) {
-        exchange->Reply(web::MakeResponse(200, "text/plain", "done"));
-      }
-      held.clear();
-    });
-  }
-
-  std::mutex mutex;
-  bool open = false;
-  std::vector<FakeServer::Exchange> held;
-};
+void Hold(FakeTarget& target, const FakeServer::Exchange& exchange) {
+  target.Hold(exchange);
+}
 
 // Guards against a planned stop of the target's daemon, or of the entry daemon,
 // that cuts a running request, and against new work at a leaving target.
 BOOST_AUTO_TEST_CASE(shutdown_lets_running_requests_finish) {
-  Gate gate;
   Fleet fleet;
   fleet.AddHost("entry", "domain-1", {});
-  fleet.AddHost("leaving", "domain-1", {{"back-1", "back", gate.Handler()}});
+  fleet.AddHost("leaving", "domain-1", {{"back-1", "back", Hold}});
   fleet.AddHost("staying", "domain-1",
                 {{"back-2", "back", AnswerWith("other")}});
   fleet.AddRoute("/look", "back");
@@ -54,6 +28,8 @@
       if (fleet.Call("entry", "/look").response.status == 200) ++good;
     });
   }
+  BOOST_TEST(fleet.at("entry").WaitStats(
+      [](const DaemonStats& stats) { return stats.caller.requests == 8; }));
   BOOST_TEST(fleet.target("back-1").WaitReceived(1));
   fleet.at("leaving").daemon().RequestShutdown();
   BOOST_TEST(fleet.at("leaving").WaitLog("draining"));
@@ -77,7 +53,7 @@
   BOOST_TEST(ProblemMember(refused, "reason") == "draining");
   BOOST_TEST(ProblemMember(refused, "outcome") == "not-run");
 
-  gate.Release(fleet.target("back-1"));
+  fleet.target("back-1").AnswerHeld("done");
   for (std::thread& caller : callers) caller.join();
   BOOST_TEST(good == 8);
   BOOST_TEST(fleet.at("leaving").Join() == 0);
@@ -87,9 +63,8 @@
 // Guards against a drain that never ends when a limit is set, and against an
 // answer that claims more than is known about a request that was cut.
 BOOST_AUTO_TEST_CASE(drain_timeout_answers_what_still_runs) {
-  Gate gate;
   Fleet fleet;
-  fleet.AddHost("only", "domain-1", {{"back-1", "back", gate.Handler()}},
+  fleet.AddHost("only", "domain-1", {{"back-1", "back", Hold}},
                 [](DaemonInit& init) {
                   init.drain_timeout = std::chrono::milliseconds(100);
                 });
--- a/tests/daemon/silent_link_test.cpp
+++ b/tests/daemon/silent_link_test.cpp
@@ -18,8 +18,7 @@
                   {{"back-1", "back",
                     [this](FakeTarget& t, const FakeServer::Exchange& e) {
                       if (!hold) return AnswerWith("one")(t, e);
-                      const std::lock_guard<std::mutex> lock(mutex);
-                      held.push_back(e);
+                      t.Hold(e);
                     }}});
     fleet.AddRoute("/look", "back");
     fleet.AddRoute("/book", "back",
@@ -34,9 +33,7 @@
     for (const auto& relay : relays) relay->Silence();
   }
 
-  std::mutex mutex;
   std::atomic<bool> hold{false};
-  std::vector<FakeServer::Exchange> held;
   std::vector<std::unique_ptr<Relay>> relays;
   Fleet fleet;
 };
--- a/tests/daemon/target_failure_test.cpp
+++ b/tests/daemon/target_failure_test.cpp
@@ -101,16 +101,13 @@
 // Guards against a late response on a reused connection reaching the next
 // caller: the first request times out, its response is sent afterwards.
 BOOST_AUTO_TEST_CASE(late_response_does_not_reach_another_request) {
-  std::mutex mutex;
-  FakeServer::Exchange late;
-  Setup setup([&](FakeTarget&, const FakeServer::Exchange& exchange) {
-    const std::lock_guard<std::mutex> lock(mutex);
+  Setup setup([](FakeTarget& target, const FakeServer::Exchange& exchange) {
     if (exchange->request().target == "/look/slow") {
-      late = exchange;
+      target.Hold(exchange);
       return;
     }
-    if (late) late->Reply(web::MakeResponse(200, "text/plain", "late"));
-    exchange->Reply(web::MakeResponse(200, "text/plain", "own"));
+    target.AnswerHeld("late");
+    AnswerWith("own")(target, exchange);
   });
   const auto slow =
       setup.fleet.Call("entry", "/look/slow", {{"Request-Timeout-Ms", "100"}});
--- a/tests/daemon/ticket_forwarding_test.cpp
+++ b/tests/daemon/ticket_forwarding_test.cpp
@@ -52,11 +52,8 @@
 
 // Guards against a second run while the first one is still in progress.
 BOOST_AUTO_TEST_CASE(ticket_in_use_is_refused) {
-  std::mutex mutex;
-  FakeServer::Exchange held;
-  Setup setup([&](FakeTarget&, const FakeServer::Exchange& exchange) {
-    const std::lock_guard<std::mutex> lock(mutex);
-    held = exchange;
+  Setup setup([](FakeTarget& target, const FakeServer::Exchange& exchange) {
+    target.Hold(exchange);
   });
   const std::string ticket = setup.NewTicket("entry-1");
   std::thread first(
@@ -66,13 +63,7 @@
   BOOST_TEST(second.status == 409);
   BOOST_TEST(ProblemMember(second, "reason") == "ticket-in-use");
   BOOST_TEST(ProblemMember(second, "outcome") == "unknown");
-  {
-    const std::lock_guard<std::mutex> lock(mutex);
-    boost::asio::post(setup.fleet.target("back-1").server().io(),
-                      [exchange = held] {
-                        exchange->Reply(web::MakeResponse(200, "", "late"));
-                      });
-  }
+  setup.fleet.target("back-1").AnswerHeld("late");
   first.join();
   BOOST_TEST(setup.Runs() == 1);
 }
