--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -32,6 +32,8 @@
   target_include_directories(lentilcross_daemon_testing
                              PUBLIC ${CMAKE_SOURCE_DIR}/tests)
   target_link_libraries(lentilcross_daemon_testing PUBLIC lentilcross_daemon)
+  add_executable(loopback_latency tools/bench/loopback_latency.cpp)
+  target_link_libraries(loopback_latency PRIVATE lentilcross_daemon_testing)
   file(GLOB daemon_tests CONFIGURE_DEPENDS tests/daemon/*_test.cpp)
   foreach(source ${daemon_tests})
     lentilcross_add_test(${source} lentilcross_daemon_testing)
