--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -218,7 +218,10 @@
   const bool ready = now - primary.asked >= Backoff(primary) ||
                      HasGrown(primary, wishes.need, now);
   const double need = ready ? wishes.need : 0;
-  if (wishes.urgent && now - primary.served > kServedMemory) {
+  const bool is_cold = now - primary.served > kServedMemory &&
+                       (primary.failures > 0 || !org.is_owner ||
+                        wishes.need > primary.potential.burst / 2);
+  if (wishes.urgent && is_cold) {
     AskAll(org, wishes, now);
   }
   for (Lender& lender : org.lenders) {
