--- a/src/rate_lender.cpp
+++ b/src/rate_lender.cpp
@@ -12,7 +12,7 @@
 // A shorter loan would end before the borrower can renew it.
 constexpr Duration kShortestTerm = std::chrono::milliseconds(200);
 // Wishes are served late for as long as a request may wait for them.
-constexpr Duration kUnmetLifetime = std::chrono::milliseconds(60);
+constexpr Duration kUnmetLifetime = std::chrono::milliseconds(40);
 
 // Part of the burst that stays with the rate that is not lent.
 constexpr double kKeptShare = 0.3;
@@ -76,8 +76,6 @@
     return nullptr;
   }
   lent->onward = IsOnward(org, from);
-  lent->want = {};
-  lent->unmet = 0;
   lent->next_part = 0;
   MarkDirty(org);
   return lent;
@@ -100,7 +98,8 @@
         TakeDeclaration(*org, from, request.borrower, request.number, ask, now);
     if (lent == nullptr) continue;
     lent->want = Min(ask.want, org->total);
-    lent->unmet = std::min(ask.need, org->total.burst);
+    // The borrower counts on what it asked for shortly before.
+    lent->unmet = std::min(lent->UnmetAt(now) + ask.need, org->total.burst);
     lent->unmet_until = now + kUnmetLifetime;
     Serve(*org, *lent, true, now);
   }
@@ -115,7 +114,9 @@
       ++stats.messages_ignored;
       continue;
     }
-    TakeDeclaration(*org, from, message.borrower, message.number, ask, now);
+    Lent* lent =
+        TakeDeclaration(*org, from, message.borrower, message.number, ask, now);
+    if (lent != nullptr) lent->want = Min(lent->want, lent->At(now));
   }
 }
 
