Count demand of the other owners of a domain

An owner that buys from the best ranked owner of its domain was not counted there, so its first token was fetched too late.

--- a/src/rate_book_impl.h
+++ b/src/rate_book_impl.h
@@ -66,7 +66,7 @@
   void FindLenders(RateOrg& org);
   void NoteSilence(RateOrg& org, Instant now) const;
   Lender* Primary(RateOrg& org, Instant now);
-  bool CountsHere(const RateOrg& org, const Lent& lent, bool is_home) const;
+  bool CountsHere(const Lent& lent, bool is_home) const;
   Wishes Wish(RateOrg& org, bool is_home, Instant now);
   void Plan(RateOrg& org, Instant now);
   void Gather(RateOrg& org, const Wishes& wishes, Instant now);
--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -130,12 +130,10 @@
   return &org.lenders.front();
 }
 
-bool RateBook::Impl::CountsHere(const RateOrg& org, const Lent& lent,
-                                bool is_home) const {
+bool RateBook::Impl::CountsHere(const Lent& lent, bool is_home) const {
   if (!lent.onward) return false;
   if (is_home || lent.want.rate > 0) return true;
-  return owners.DomainOf(lent.borrower) == init.failure_domain &&
-         !IsOwnerHere(org, lent.borrower);
+  return owners.DomainOf(lent.borrower) == init.failure_domain;
 }
 
 RateBook::Impl::Wishes RateBook::Impl::Wish(RateOrg& org, bool is_home,
@@ -145,7 +143,7 @@
   wishes.demand = org.local.rate(now);
   double wanted = org.waiting;
   for (const Lent& lent : account.lent()) {
-    if (!CountsHere(org, lent, is_home)) continue;
+    if (!CountsHere(lent, is_home)) continue;
     wishes.demand +=
         lent.drawn.rate(now) + std::max(lent.want.rate, lent.At(now).rate);
     wanted += lent.UnmetAt(now);
