--- a/cmake/tools.cmake
+++ b/cmake/tools.cmake
@@ -11,4 +11,4 @@
 
 add_executable(rate_compare tools/rate_compare/rate_compare.cpp
                             tools/rate_compare/other_policies.cpp)
-target_link_libraries(rate_compare PRIVATE rate_fleet)
+target_link_libraries(rate_compare PRIVATE rate_fleet cxxopts::cxxopts)
--- a/tools/rate_compare/rate_fleet.cpp
+++ b/tools/rate_compare/rate_fleet.cpp
@@ -68,12 +68,15 @@
 
 RateFleet::RateFleet(const Options& options)
     : options_(options), random_(options.seed) {
-  configuration_ = MakeConfiguration(options);
+  if (options_.organisations.empty()) {
+    options_.organisations.push_back({200, 100});
+  }
+  configuration_ = MakeConfiguration(options_);
   const int count = options.domains * options.hosts_per_domain;
   hosts_.resize(static_cast<std::size_t>(count));
   side_.assign(hosts_.size(), false);
-  for (std::size_t i = 0; i < options.organisations.size(); ++i) {
-    const Quota quota = options.organisations[i];
+  for (std::size_t i = 0; i < options_.organisations.size(); ++i) {
+    const Quota quota = options_.organisations[i];
     organisations_.push_back(
         {OrganisationId::FromName("organisation-" + std::to_string(i)),
          ReferenceBucket(quota.rate, quota.burst),
@@ -326,6 +329,12 @@
   messages_ = 0;
 }
 
+std::uint64_t RateFleet::SumBytes() const {
+  std::uint64_t sum = 0;
+  for (const Host& host : hosts_) sum += host.bytes;
+  return sum;
+}
+
 std::uint64_t RateFleet::MostBytes() const {
   std::uint64_t most = 0;
   for (const Host& host : hosts_) most = std::max(most, host.bytes);
--- a/tools/rate_compare/rate_fleet.h
+++ b/tools/rate_compare/rate_fleet.h
@@ -39,7 +39,7 @@
     int hosts_per_domain = 4;
     int domains_per_region = 2;
     int owners_per_domain = 2;
-    std::vector<Quota> organisations = {{200, 100}};
+    std::vector<Quota> organisations;  ///< Empty: one of rate 200, burst 100.
     Duration delay_in_domain = std::chrono::microseconds(250);
     Duration delay_in_region = std::chrono::microseconds(500);
     Duration delay_between_regions = std::chrono::milliseconds(8);
@@ -93,7 +93,7 @@
   std::uint64_t messages() const { return messages_; }
   /// Estimated bytes sent by the busiest host since `ResetCounts`.
   std::uint64_t MostBytes() const;
-  std::string TraceOfRefusals() const { return trace_; }
+  std::uint64_t SumBytes() const;
 
  private:
   struct Waiting {
@@ -152,7 +152,6 @@
   std::vector<Organisation> organisations_;
   std::uint64_t messages_ = 0;
   std::uint64_t requests_ = 0;
-  std::string trace_;
 };
 
 }  // namespace lentilcross
