--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -308,7 +308,6 @@
 
 void RateBook::Impl::Release(RateOrg& org, Lender& lender, Quota keep,
                              double returned, Instant now) {
-  keep = keep - Quota{};
   LoanAsk ask = org.account.Declare(lender.host, keep, returned);
   ask.organisation = org.id;
   lender.asked = now;
--- a/tests/context_tokens_test.cpp
+++ b/tests/context_tokens_test.cpp
@@ -54,7 +54,9 @@
         const auto* entry = tokens.Find(token);
         RC_ASSERT(entry != nullptr && entry->context.id.low == number);
       }
-      for (const auto& token : ended) RC_ASSERT(tokens.Find(token) == nullptr);
+      for (const auto& token : ended) {
+        RC_ASSERT(tokens.Find(token) == nullptr);
+      }
     }
   }));
 }
--- a/tests/rate_book_test.cpp
+++ b/tests/rate_book_test.cpp
@@ -51,9 +51,9 @@
 }
 
 void Partition(RateFleet& fleet) {
-  std::vector<bool> side;
+  std::vector<bool> side(static_cast<std::size_t>(fleet.hosts()));
   for (int host = 0; host < fleet.hosts(); ++host) {
-    side.push_back(fleet.DomainOf(host) % 2 == 0);
+    side[static_cast<std::size_t>(host)] = fleet.DomainOf(host) % 2 == 0;
   }
   fleet.Partition(std::move(side));
 }
--- a/tools/rate_compare/rate_fleet.h
+++ b/tools/rate_compare/rate_fleet.h
@@ -82,7 +82,7 @@
   void Partition(std::vector<bool> side);
   void SetLoss(double loss) { options_.loss = loss; }
   /// Publishes the next configuration version to all hosts within 4 s.
-  void Publish(std::function<void(Configuration&)> change);
+  void Publish(const std::function<void(Configuration&)>& change);
 
   /// Called after every step.
   std::function<void()> on_step;
