--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -342,10 +342,4 @@
       borrowed_.end());
 }
 
-std::size_t RateAccount::StateBytes() const {
-  return sizeof(*this) + steps_.capacity() * sizeof(Step) +
-         borrowed_.capacity() * sizeof(Borrowed) +
-         lent_.capacity() * sizeof(Lent);
-}
-
 }  // namespace lentilcross
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -123,8 +123,6 @@
   /// Drops records of loans that ended a while ago.
   void ForgetEnded();
 
-  std::size_t StateBytes() const;
-
  private:
   struct Step {
     Instant at{};
