--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -130,12 +130,10 @@
   return &org.lenders.front();
 }
 
-bool RateBook::Impl::CountsHere(const RateOrg& org, const Lent& lent,
-                                bool is_home) const {
+bool RateBook::Impl::CountsHere(const Lent& lent, bool is_home) const {
   if (!lent.onward) return false;
   if (is_home || lent.want.rate > 0) return true;
-  return owners.DomainOf(lent.borrower) == init.failure_domain &&
-         !IsOwnerHere(org, lent.borrower);
+  return owners.DomainOf(lent.borrower) == init.failure_domain;
 }
 
 RateBook::Impl::Wishes RateBook::Impl::Wish(RateOrg& org, bool is_home,
@@ -145,7 +143,7 @@
   wishes.demand = org.local.rate(now);
   double wanted = org.waiting;
   for (const Lent& lent : account.lent()) {
-    if (!CountsHere(org, lent, is_home)) continue;
+    if (!CountsHere(lent, is_home)) continue;
     wishes.demand +=
         lent.drawn.rate(now) + std::max(lent.want.rate, lent.At(now).rate);
     wanted += lent.UnmetAt(now);
@@ -218,7 +216,10 @@
   const bool ready = now - primary.asked >= Backoff(primary) ||
                      HasGrown(primary, wishes.need, now);
   const double need = ready ? wishes.need : 0;
-  if (wishes.urgent && now - primary.served > kServedMemory) {
+  const bool is_cold = now - primary.served > kServedMemory &&
+                       (primary.failures > 0 || !org.is_owner ||
+                        wishes.need > primary.potential.burst / 2);
+  if (wishes.urgent && is_cold) {
     AskAll(org, wishes, now);
   }
   for (Lender& lender : org.lenders) {
@@ -307,7 +308,6 @@
 
 void RateBook::Impl::Release(RateOrg& org, Lender& lender, Quota keep,
                              double returned, Instant now) {
-  keep = keep - Quota{};
   LoanAsk ask = org.account.Declare(lender.host, keep, returned);
   ask.organisation = org.id;
   lender.asked = now;
