--- a/include/lentilcross/membership.h
+++ b/include/lentilcross/membership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <unordered_map>
 #include <vector>
 
@@ -43,7 +43,11 @@
     Instant probed{};
   };
 
-  explicit Membership(const Init& init) : init_(init) {}
+  /// Announces this process: others may know an earlier one of its name as
+  /// left.
+  explicit Membership(const Init& init);
+  Membership(Membership&&) = default;
+  Membership& operator=(Membership&&) = default;
 
   /// A link to the host was authenticated. False if a later incarnation of the
   /// host is known; the link is to be closed.
@@ -87,6 +91,7 @@
   Member* Insert(HostId host, Incarnation incarnation);
   void EvictOne();
   void Announce(HostId host, const Member& member);
+  void AnnounceSelf();
   bool HeardLately(const Member& member, Instant now) const;
 
   Init init_;
@@ -94,7 +99,8 @@
   MemberState self_state_ = MemberState::kAlive;
   std::uint32_t self_sequence_ = 0;
   std::unordered_map<HostId, Member> members_;
-  std::deque<Pending> pending_;  ///< Newest first.
+  std::list<Pending> pending_;  ///< Newest first, one for each host.
+  std::unordered_map<HostId, std::list<Pending>::iterator> pending_index_;
 };
 
 }  // namespace lentilcross
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -29,6 +29,8 @@
 
 }  // namespace
 
+Membership::Membership(const Init& init) : init_(init) { AnnounceSelf(); }
+
 bool Membership::OnHello(HostId host, Incarnation incarnation, Instant now) {
   if (host == init_.self) return false;
   Member* member = FindMutable(host);
@@ -36,7 +38,6 @@
     member = Insert(host, incarnation);
     if (member == nullptr) return true;
     member->heard = now;
-    Announce(host, *member);
     return true;
   }
   // A process that was paused while a replacement took over its name.
@@ -118,11 +119,7 @@
   if (same) {
     self_sequence_ = std::max(self_sequence_, NextSequence(update.sequence));
   }
-  Member self;
-  self.incarnation = init_.incarnation;
-  self.state = self_state_;
-  self.sequence = self_sequence_;
-  Announce(init_.self, self);
+  AnnounceSelf();
 }
 
 void Membership::OnOtherIncarnation(Member& member,
@@ -143,24 +140,22 @@
   if (IsFinal(self_state_)) return;
   self_state_ = MemberState::kLeaving;
   self_sequence_ = NextSequence(self_sequence_);
-  Member self;
-  self.incarnation = init_.incarnation;
-  self.state = self_state_;
-  self.sequence = self_sequence_;
-  Announce(init_.self, self);
+  AnnounceSelf();
 }
 
 std::vector<MemberUpdate> Membership::NextUpdates() {
   std::vector<MemberUpdate> updates;
-  for (Pending& pending : pending_) {
-    if (updates.size() == LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES) break;
-    updates.push_back(pending.update);
-    --pending.sends_left;
+  auto pending = pending_.begin();
+  while (pending != pending_.end() &&
+         updates.size() < LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES) {
+    updates.push_back(pending->update);
+    if (--pending->sends_left > 0) {
+      ++pending;
+      continue;
+    }
+    pending_index_.erase(pending->update.host);
+    pending = pending_.erase(pending);
   }
-  const auto spent = std::remove_if(
-      pending_.begin(), pending_.end(),
-      [](const Pending& pending) { return pending.sends_left <= 0; });
-  pending_.erase(spent, pending_.end());
   return updates;
 }
 
@@ -232,14 +227,27 @@
 }
 
 void Membership::Announce(HostId host, const Member& member) {
-  const auto older = std::find_if(
-      pending_.begin(), pending_.end(),
-      [host](const Pending& pending) { return pending.update.host == host; });
-  if (older != pending_.end()) pending_.erase(older);
-  if (pending_.size() >= LENTILCROSS_CONFIG_MAX_MEMBERS) pending_.pop_back();
+  if (const auto older = pending_index_.find(host);
+      older != pending_index_.end()) {
+    pending_.erase(older->second);
+    pending_index_.erase(older);
+  }
+  if (pending_.size() >= LENTILCROSS_CONFIG_MAX_MEMBERS) {
+    pending_index_.erase(pending_.back().update.host);
+    pending_.pop_back();
+  }
   pending_.push_front(
       {{host, member.incarnation, member.state, member.sequence},
        LENTILCROSS_CONFIG_MEMBER_UPDATE_SENDS});
+  pending_index_[host] = pending_.begin();
+}
+
+void Membership::AnnounceSelf() {
+  Member self;
+  self.incarnation = init_.incarnation;
+  self.state = self_state_;
+  self.sequence = self_sequence_;
+  Announce(init_.self, self);
 }
 
 bool Membership::HeardLately(const Member& member, Instant now) const {
