Count a confirmation by a peer as contact with the platform

Cause: in a domain that is cut off from the others but reaches the platform, only the two readers had contact; the test of staleness found 6 of 12 hosts refusing keyed routes although their version was confirmed. Change: the platform age in a digest also counts for the staleness limit.

--- a/include/lentilcross/config.h
+++ b/include/lentilcross/config.h
@@ -9,13 +9,13 @@
 #endif
 
 #ifndef LENTILCROSS_CONFIG_MAX_PEER_MESSAGE
-#define LENTILCROSS_CONFIG_MAX_PEER_MESSAGE (1024 * 1024)
+#define LENTILCROSS_CONFIG_MAX_PEER_MESSAGE 1048576
 #endif
 
 // Largest HTTP body of a request or an answer; leaves room for the envelope in
 // one peer message.
 #ifndef LENTILCROSS_CONFIG_MAX_BODY
-#define LENTILCROSS_CONFIG_MAX_BODY (960 * 1024)
+#define LENTILCROSS_CONFIG_MAX_BODY 983040
 #endif
 
 #ifndef LENTILCROSS_CONFIG_MAX_USED_TICKETS
@@ -35,7 +35,7 @@
 #endif
 
 #ifndef LENTILCROSS_CONFIG_MAX_CONFIGURATION
-#define LENTILCROSS_CONFIG_MAX_CONFIGURATION (1024 * 1024)
+#define LENTILCROSS_CONFIG_MAX_CONFIGURATION 1048576
 #endif
 
 #ifndef LENTILCROSS_CONFIG_KEPT_DELTAS
@@ -84,5 +84,5 @@
 // Bytes of a configuration document in one snapshot message. Larger pieces
 // delay calls on the same link; must be below the peer message size.
 #ifndef LENTILCROSS_CONFIG_SNAPSHOT_PIECE
-#define LENTILCROSS_CONFIG_SNAPSHOT_PIECE (64 * 1024)
+#define LENTILCROSS_CONFIG_SNAPSHOT_PIECE 65536
 #endif
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -145,8 +145,9 @@
   }
   std::string Pointer() const {
     std::string pointer;
-    for (const Level& level : levels_)
+    for (const Level& level : levels_) {
       pointer = JoinPointer(pointer, level.name);
+    }
     return pointer;
   }
 
@@ -291,8 +292,9 @@
 void ObjectReader::Flag(std::string_view name, Presence presence, bool& out) {
   const Json* value = Find(name, presence);
   if (value == nullptr) return;
-  if (!value->is_boolean())
+  if (!value->is_boolean()) {
     return Report(name, "wrong type: expected a boolean");
+  }
   out = value->get<bool>();
 }
 
@@ -345,8 +347,9 @@
                            const MemberVisitor& visit) {
   const Json* value = Find(name, presence);
   if (value == nullptr) return;
-  if (!value->is_object())
+  if (!value->is_object()) {
     return Report(name, "wrong type: expected an object");
+  }
   const std::string pointer = PointerTo(name);
   for (const auto& [member, content] : value->items()) {
     visit(member, content, JoinPointer(pointer, member));
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -29,7 +29,7 @@
 constexpr Duration kStartupInterval = std::chrono::milliseconds(250);
 // Larger deltas are not pushed; peers see the version in a digest and ask one
 // host for it.
-constexpr std::size_t kMaxPushedDelta = 64 * 1024;
+constexpr std::size_t kMaxPushedDelta = 65536;
 constexpr std::size_t kMaxDelta = LENTILCROSS_CONFIG_MAX_PEER_MESSAGE / 2;
 
 }  // namespace
@@ -174,7 +174,11 @@
     return {{from, MakeDigest(now)}};
   }
   if (digest.platform_age < kMaxPeerDuration) {
-    schedule_.OnConfirmedByPeer(now - digest.platform_age);
+    // In a domain that is cut off from the others but not from the platform,
+    // most hosts hear the platform only through the readers.
+    const Instant confirmed = now - digest.platform_age;
+    schedule_.OnConfirmedByPeer(confirmed);
+    outside_contact_ = std::max(outside_contact_, confirmed);
   }
   return {};
 }
