--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,8 @@
 # over.
 #   scripts/test.sh                    the default build, then the core tests
 #                                      under AddressSanitizer and
-#                                      UndefinedBehaviorSanitizer
+#                                      UndefinedBehaviorSanitizer, then the
+#                                      fuzz targets
 #   scripts/test.sh --sanitize thread  all tests under ThreadSanitizer
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -54,3 +55,4 @@
 build build-address -DLENTILCROSS_SANITIZE=address
 run_tests build-address
 run_tests build
+scripts/fuzz.sh
--- a/src/published_document.cpp
+++ b/src/published_document.cpp
@@ -121,7 +121,7 @@
 DocumentPointer SharedDocumentStore::Share(Key key, Open open) {
   auto& shared = documents_[key];
   if (DocumentPointer document = shared.lock()) return document;
-  const DocumentPointer document = open();
+  DocumentPointer document = open();
   shared = document;
   return document;
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -180,6 +180,7 @@
       [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& news,
          std::uint64_t seed) {
         std::vector<MemberUpdate> updates;
+        updates.reserve(news.size());
         for (const auto& [state, sequence] : news) {
           updates.push_back({kPeer, kFirst, static_cast<MemberState>(state % 4),
                              sequence % 8U});
--- a/tests/peer_message_test.cpp
+++ b/tests/peer_message_test.cpp
@@ -250,7 +250,7 @@
 // allocate much more than the size of the input.
 BOOST_DATA_TEST_CASE(bad_messages_are_refused, data::make(BadMessages())) {
   // 8,192 values of up to 64 bytes each, and the texts.
-  constexpr std::size_t kFixed = 8192 * 64;
+  constexpr std::size_t kFixed = std::size_t{8192} * 64;
   constexpr std::size_t kMultiple = 4;
   const std::size_t before = g_live;
   g_peak = g_live;
--- a/tests/spread_fleet.h
+++ b/tests/spread_fleet.h
@@ -18,6 +18,16 @@
 
 namespace lentilcross {
 
+/// Hands a document of the platform over; keeps the findings.
+inline Captured<bool> ReadDocument(Spread& spread, const std::string& text,
+                                   Instant now) {
+  return Capture<bool>([&]() -> Result<bool> {
+    auto read = spread.OnPlatformDocument(text, now);
+    if (!read) return read.error();
+    return true;
+  });
+}
+
 /// Many Spread objects, links and a platform in virtual time.
 class SpreadFleet {
  public:
@@ -238,8 +248,8 @@
     Tick(node);
   }
 
-  void Send(std::size_t from, std::vector<Spread::Outgoing> messages) {
-    for (auto& [to, message] : messages) {
+  void Send(std::size_t from, const std::vector<Spread::Outgoing>& messages) {
+    for (const auto& [to, message] : messages) {
       const auto found = index_.find(to);
       if (found == index_.end()) continue;
       const std::size_t target = found->second;
@@ -251,7 +261,8 @@
       }
       nodes_[target].bytes_received += bytes.size();
       if (Chance(options_.corrupt)) {
-        bytes[Below(bytes.size())] ^= static_cast<char>(1 + Below(255));
+        char& byte = bytes[Below(bytes.size())];
+        byte = static_cast<char>(byte ^ static_cast<char>(1 + Below(255)));
       }
       const int copies = Chance(options_.duplicate) ? 2 : 1;
       for (int i = 0; i < copies; ++i) {
@@ -316,10 +327,7 @@
         return n.spread->OnPlatformUnchanged(now_);
       }
       if (platform_text.empty()) return n.spread->OnPlatformFailure(now_);
-      Capture<int>([&]() -> Result<int> {
-        BOOST_LEAF_CHECK(n.spread->OnPlatformDocument(platform_text, now_));
-        return 0;
-      });
+      ReadDocument(*n.spread, platform_text, now_);
       AfterChange(node);
     });
   }
--- a/tests/spread_scale_test.cpp
+++ b/tests/spread_scale_test.cpp
@@ -117,12 +117,12 @@
                                    << " calls/s, control traffic " << idle
                                    << " B/s per daemon (both ways)");
 
-  constexpr int kChanges = 5;
+  constexpr std::uint64_t kChanges = 5;
   Duration longest{};
   const std::uint64_t before = BytesOf(*fleet);
   const Instant start = fleet->now();
-  for (int i = 0; i < kChanges; ++i) {
-    const auto version = static_cast<std::uint64_t>(2 + i);
+  for (std::uint64_t i = 0; i < kChanges; ++i) {
+    const std::uint64_t version = 2 + i;
     fleet->Publish(version);
     const auto took = fleet->RunUntilAllHold(Version(version), seconds(20));
     BOOST_REQUIRE(took);
@@ -153,11 +153,8 @@
     fleet->node(i).platform_reachable = false;
   }
   fleet->RunFor(seconds(3));
-  Captured<int> applied = Capture<int>([&]() -> Result<int> {
-    BOOST_LEAF_CHECK(fleet->node(7).spread->OnPlatformDocument(
-        fleet->Document(2), fleet->now()));
-    return 0;
-  });
+  const auto applied =
+      ReadDocument(*fleet->node(7).spread, fleet->Document(2), fleet->now());
   BOOST_REQUIRE(applied.value);
   const auto took = fleet->RunUntilAllHold(Version(2), seconds(20));
   BOOST_REQUIRE(took);
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -22,13 +22,6 @@
   return options;
 }
 
-Captured<int> Read(Spread& spread, const std::string& text, Instant now) {
-  return Capture<int>([&]() -> Result<int> {
-    BOOST_LEAF_CHECK(spread.OnPlatformDocument(text, now));
-    return 0;
-  });
-}
-
 /// Starts all hosts and waits until they have version 1.
 void StartWithVersionOne(SpreadFleet& fleet) {
   fleet.Publish(1);
@@ -133,13 +126,14 @@
   fleet.RunFor(seconds(10));
   Spread& spread = *fleet.node(0).spread;
   BOOST_TEST(!spread.IsReady(fleet.now()));
-  BOOST_TEST(Read(spread, fleet.Document(1), fleet.now()).value.has_value());
+  BOOST_TEST(
+      ReadDocument(spread, fleet.Document(1), fleet.now()).value.has_value());
   BOOST_TEST(spread.IsReady(fleet.now()));
 
   fleet.Start(1, /*seeds=*/0);
   fleet.RunFor(milliseconds(200));
   Spread& fresh = *fleet.node(1).spread;
-  Read(fresh, fleet.Document(1), fleet.now());
+  ReadDocument(fresh, fleet.Document(1), fleet.now());
   BOOST_TEST(!fresh.IsReady(fleet.now()));
   BOOST_TEST(fresh.IsReady(fleet.now() + seconds(3)));
 }
@@ -164,11 +158,12 @@
 
   Spread& spread = *fleet.node(0).spread;
   const std::string worse = fleet.Document(3, ",\"extra\":2");
-  BOOST_TEST(Read(spread, worse, fleet.now()).findings.list().size() == 1);
-  BOOST_TEST(Read(spread, worse, fleet.now()).value.has_value());
+  BOOST_TEST(ReadDocument(spread, worse, fleet.now()).findings.list().size() ==
+             1);
+  BOOST_TEST(ReadDocument(spread, worse, fleet.now()).value.has_value());
   BOOST_TEST(spread.last_findings().list().front().place == "/extra");
   BOOST_TEST(spread.current()->version.value() == 1);
-  Read(spread, fleet.Document(4), fleet.now());
+  ReadDocument(spread, fleet.Document(4), fleet.now());
   BOOST_TEST(spread.last_findings().empty());
   BOOST_TEST(spread.current()->version.value() == 4);
 }
@@ -196,7 +191,7 @@
   }
   void Publish(std::uint64_t version, const std::string& extra = "") {
     BOOST_REQUIRE(
-        Read(old(), fleet.Document(version, extra), fleet.now()).value);
+        ReadDocument(old(), fleet.Document(version, extra), fleet.now()).value);
   }
 
   SpreadFleet fleet;
@@ -220,7 +215,8 @@
 BOOST_AUTO_TEST_CASE(snapshot_pieces_may_come_in_any_way) {
   Pair pair;
   BOOST_REQUIRE(
-      Read(pair.old(), LargeDocument(pair.fleet, 3), pair.fleet.now()).value);
+      ReadDocument(pair.old(), LargeDocument(pair.fleet, 3), pair.fleet.now())
+          .value);
   auto pieces = pair.ToOld(ConfigRequest{});
   BOOST_REQUIRE(pieces.size() >= 3);
   for (const auto& piece : pieces) {
@@ -272,7 +268,7 @@
 BOOST_AUTO_TEST_CASE(deltas_apply_only_where_they_belong) {
   Pair pair;
   pair.Publish(1);
-  Read(pair.fresh(), pair.fleet.Document(1), pair.fleet.now());
+  ReadDocument(pair.fresh(), pair.fleet.Document(1), pair.fleet.now());
   pair.Publish(2);
   pair.Publish(3);
   Digest digest;
