Hold the limit while a target slows down

Cause: when the deep service slowed to a fifth, throughput fell at once but the base latency only with the next probe. Their product fell to a fifth, the limit with it, and the limit then bounded the throughput that it was computed from. Change: a sudden fall of throughput starts a probe and keeps the limit; a probe is relative to the limit; a large change of the base is taken over at once.

--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -27,6 +27,8 @@
 constexpr double kProbeShare = 0.85;
 constexpr int kWindowsBetweenProbes = 32;
 constexpr int kWindowsBeforeEarlyProbe = 3;
+// Share of the throughput, at the same limit, below which the target slowed.
+constexpr double kFallenThroughput = 0.7;
 // Throughput that a probe keeps if the estimate is too high.
 constexpr double kKeptThroughput = 0.95;
 // Mean latency over base latency that ends slow start.
@@ -50,7 +52,7 @@
   const bool probing =
       phase_ == Phase::kDraining || phase_ == Phase::kMeasuring;
   const double limit =
-      probing ? std::min(limit_, kProbeShare * throughput_ * base_) : limit_;
+      probing ? kProbeShare * (limit_ - kMarginCalls) / kMargin : limit_;
   return static_cast<int>(std::lround(std::clamp(limit, init_.min, init_.max)));
 }
 
@@ -122,10 +124,18 @@
       break;
     case Phase::kRunning:
       if (bound_share == 0) return;
-      throughput_ += kSmoothing * (throughput - throughput_);
       if (latency > kHighLatencyRatio * base_) {
         until_probe_ = std::min(until_probe_, kWindowsBeforeEarlyProbe);
       }
+      if (bound_share >= kMostlyBound &&
+          throughput < kFallenThroughput * throughput_) {
+        // The target became slower: the base is out of date, and the estimate
+        // with it. The limit stays until a probe has measured.
+        throughput_ = throughput;
+        phase_ = Phase::kDraining;
+        return;
+      }
+      throughput_ += kSmoothing * (throughput - throughput_);
       if (--until_probe_ <= 0) phase_ = Phase::kDraining;
       break;
     case Phase::kDraining:
@@ -143,7 +153,8 @@
   const bool too_high =
       throughput > kKeptThroughput * throughput_ && latency < base_;
   until_probe_ = too_high ? kWindowsBeforeEarlyProbe : kWindowsBetweenProbes;
-  base_ += kSmoothing * (latency - base_);
+  const bool moved = latency > kHighLatencyRatio * base_;
+  base_ += (moved ? 1 : kSmoothing) * (latency - base_);
 }
 
 void ConcurrencyLimit::MoveLimit(double bound_share) {
