State no level above an importance that still starts

Cause: a wrong estimate of the demand of higher importance stated a level in the critical range while lookups started at the same target. Change: the level stays below the top of the lowest importance that started in the last 200 ms.

--- a/src/level_estimator.cpp
+++ b/src/level_estimator.cpp
@@ -69,6 +69,13 @@
     StartWindow(now);
     return;
   }
+  int lowest = 0;
+  while (lowest < kImportanceCount &&
+         starts_[static_cast<std::size_t>(lowest)] == 0) {
+    ++lowest;
+  }
+  lowest_started_[next_started_] = lowest;
+  next_started_ = (next_started_ + 1) % kRecentStarts;
   EstimateCapacity(elapsed.count(), ceiling);
   for (auto& [id, organisation] : organisations_) {
     EstimateDemand(organisation, elapsed.count());
@@ -159,7 +166,11 @@
 void LevelEstimator::ComputeLevels() {
   double remaining = 0;
   const int marginal = capacity_ > 0 ? FindMarginal(remaining) : -1;
-  base_level_ = marginal < 0 ? 0 : LevelAt(marginal, 0);
+  // While calls of some importance start here, none above it is refused, even
+  // if a wrong estimate asks for it.
+  const int lowest = LowestStarted();
+  const std::uint32_t highest = LevelAt(lowest, 1 - kFewestKept);
+  base_level_ = marginal < 0 ? 0 : std::min(LevelAt(marginal, 0), highest);
   if (marginal < 0) {
     for (auto& [id, organisation] : organisations_) organisation.level = 0;
     return;
@@ -176,10 +187,16 @@
     const double wanted =
         organisation.demands[static_cast<std::size_t>(marginal)].rate;
     const double refused = wanted > 0 ? 1 - organisation.share / wanted : 0;
-    organisation.level = LevelAt(marginal, refused);
+    organisation.level = std::min(LevelAt(marginal, refused), highest);
   }
 }
 
+int LevelEstimator::LowestStarted() const {
+  const int lowest =
+      *std::min_element(lowest_started_.begin(), lowest_started_.end());
+  return std::min(lowest, kImportanceCount - 1);
+}
+
 void LevelEstimator::Remember() {
   for (auto& [id, organisation] : organisations_) {
     organisation.recent[next_recent_] = organisation.level;
--- a/src/level_estimator.h
+++ b/src/level_estimator.h
@@ -31,6 +31,7 @@
 
  private:
   static constexpr std::size_t kRecentLevels = 10;
+  static constexpr std::size_t kRecentStarts = 4;
   struct Demand {
     int seen = 0;         ///< Arrivals of this window.
     int unshed = 0;       ///< Those that no gate may have refused.
@@ -54,6 +55,7 @@
   double Shares(int marginal, double fill);
   void Remember();
   void StartWindow(Instant now);
+  int LowestStarted() const;
 
   std::unordered_map<OrganisationId, Organisation> organisations_;
   Instant window_start_;
@@ -64,6 +66,12 @@
   double capacity_ = 0;           ///< Calls per second; 0: no limit is known.
   std::uint32_t base_level_ = 0;  ///< For organisations without arrivals.
   std::size_t next_recent_ = 0;
+  /// Lowest importance that started, of the last windows.
+  std::array<int, kRecentStarts> lowest_started_{kImportanceCount,
+                                                 kImportanceCount,
+                                                 kImportanceCount,
+                                                 kImportanceCount};
+  std::size_t next_started_ = 0;
 };
 
 }  // namespace lentilcross
