Keep higher importance queued while lower importance waits

Cause: a critical call that had waited 50 ms was dropped although lower calls waited behind it, and the next free slot went to one of them; a call could also expire in the same event that freed a slot. Change: calls that waited too long are dropped only if nothing lower waits, and free slots are filled before calls expire.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -73,9 +73,15 @@
 void TargetAdmission::Impl::StartQueued(Instant now, Actions& actions) {
   const bool standing =
       now - queue_empty_at > init.longest_queue / kStandingDivisor;
+  const Duration needed = limit.base_latency(now);
   while (has_room() && queue.size() > 0) {
     const auto next = queue.PopNext(standing, now);
-    Start(next->entry, now, actions);
+    if (next->entry.deadline < now + needed) {
+      ++stats.expired;
+      Shed(next->entry, Reason::kDeadlineExceeded, actions);
+    } else {
+      Start(next->entry, now, actions);
+    }
   }
   if (queue.size() == 0) queue_empty_at = now;
   if (has_room()) levels.CountIdle();
@@ -158,8 +164,8 @@
   const Duration latency = now - found->second.started - found->second.onward;
   impl.limit.Record(sample, latency, impl.in_flight(), now);
   impl.running.erase(found);
-  impl.DropExpired(now, actions);
   impl.StartQueued(now, actions);
+  impl.DropExpired(now, actions);
   impl.Observe(now);
   return actions;
 }
@@ -173,8 +179,8 @@
   if (++call.onward_calls > 1) return actions;
   call.onward_since = now;
   ++impl_->waiting;
-  impl_->DropExpired(now, actions);
   impl_->StartQueued(now, actions);
+  impl_->DropExpired(now, actions);
   return actions;
 }
 
@@ -193,8 +199,8 @@
 
 TargetAdmission::Actions TargetAdmission::Tick(Instant now) {
   Actions actions;
-  impl_->DropExpired(now, actions);
   impl_->StartQueued(now, actions);
+  impl_->DropExpired(now, actions);
   impl_->queue.Prune(now);
   impl_->Observe(now);
   return actions;
--- a/src/call_queue.cpp
+++ b/src/call_queue.cpp
@@ -89,24 +89,38 @@
   return shed;
 }
 
+template <typename Expired>
+void CallQueue::Extract(std::size_t level, Expired expired,
+                        std::vector<Waiting>& out) {
+  if (class_sizes_[level] == 0) return;
+  for (auto& [id, organisation] : organisations_) {
+    Class& calls = organisation.classes[level];
+    const auto removed = std::stable_partition(
+        calls.begin(), calls.end(),
+        [&](const Waiting& call) { return !expired(call); });
+    const auto count = static_cast<std::size_t>(calls.end() - removed);
+    out.insert(out.end(), removed, calls.end());
+    calls.erase(removed, calls.end());
+    class_sizes_[level] -= count;
+    size_ -= count;
+  }
+}
+
 std::vector<CallQueue::Waiting> CallQueue::PopExpired(Instant now,
                                                       Duration needed,
                                                       Instant oldest) {
   std::vector<Waiting> expired;
-  for (auto& [id, organisation] : organisations_) {
-    for (std::size_t level = 0; level < kImportanceCount; ++level) {
-      Class& calls = organisation.classes[level];
-      const auto keep = std::stable_partition(
-          calls.begin(), calls.end(), [&](const Waiting& call) {
-            return call.entry.deadline >= now + needed &&
-                   call.arrived >= oldest;
-          });
-      expired.insert(expired.end(), keep, calls.end());
-      const auto count = static_cast<std::size_t>(calls.end() - keep);
-      class_sizes_[level] -= count;
-      size_ -= count;
-      calls.erase(keep, calls.end());
-    }
+  if (size_ == 0) return expired;
+  bool lower_waits = false;
+  for (std::size_t level = 0; level < kImportanceCount; ++level) {
+    Extract(
+        level,
+        [&](const Waiting& call) {
+          return call.entry.deadline < now + needed ||
+                 (!lower_waits && call.arrived < oldest);
+        },
+        expired);
+    lower_waits = lower_waits || class_sizes_[level] > 0;
   }
   return expired;
 }
--- a/src/call_queue.h
+++ b/src/call_queue.h
@@ -27,8 +27,9 @@
   std::optional<Waiting> PopNext(bool newest_first, Instant now);
   /// Call to shed first.
   std::optional<Waiting> PopLowest(Instant now);
-  /// Removes the calls that must start before `now + needed` but cannot, and
-  /// those that arrived before `oldest`.
+  /// Removes the calls that cannot end by their deadline if they take `needed`,
+  /// and those that arrived before `oldest`, unless calls of lower importance
+  /// wait: those would start in place of the removed ones.
   std::vector<Waiting> PopExpired(Instant now, Duration needed, Instant oldest);
   bool Remove(std::uint64_t number);
   /// Counts a start of the organisation for its share.
@@ -38,6 +39,8 @@
 
  private:
   using Class = std::deque<Waiting>;
+  template <typename Expired>
+  void Extract(std::size_t level, Expired expired, std::vector<Waiting>& out);
   struct Organisation {
     double weight = 1;
     double used = 0;  ///< Decaying count of starts.
--- a/src/level_estimator.h
+++ b/src/level_estimator.h
@@ -67,10 +67,8 @@
   std::uint32_t base_level_ = 0;  ///< For organisations without arrivals.
   std::size_t next_recent_ = 0;
   /// Lowest importance that started, of the last windows.
-  std::array<int, kRecentStarts> lowest_started_{kImportanceCount,
-                                                 kImportanceCount,
-                                                 kImportanceCount,
-                                                 kImportanceCount};
+  std::array<int, kRecentStarts> lowest_started_{
+      kImportanceCount, kImportanceCount, kImportanceCount, kImportanceCount};
   std::size_t next_started_ = 0;
 };
 
