Test admission, shedding and routing

Cause: the three modules had no tests; an ejected target whose calls started before the ejection could count them as probes for ever. Change: tests for each promise of the modules; a probe slot is given back with every ended call.

--- a/include/lentilcross/routing.h
+++ b/include/lentilcross/routing.h
@@ -42,7 +42,8 @@
 
   static Result<Router> Create(const Init& init);
 
-  void Apply(std::shared_ptr<const Configuration> configuration, Instant now);
+  void Apply(const std::shared_ptr<const Configuration>& configuration,
+             Instant now);
   /// Avoids the targets in `tried` unless nothing else is left. Never chooses a
   /// host that is suspected, leaving or left.
   std::optional<Pick> Choose(ServiceId service, const Membership& membership,
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -73,7 +73,7 @@
   return merged;
 }
 
-void Router::Apply(std::shared_ptr<const Configuration> configuration,
+void Router::Apply(const std::shared_ptr<const Configuration>& configuration,
                    Instant now) {
   std::unordered_map<ServiceId, Service> services;
   for (const auto& [id, entry] : configuration->services) {
@@ -265,8 +265,9 @@
 
 // Calls that were outstanding at the ejection also end here.
 void Router::EndProbe(Target& target, bool ok, Instant now) {
-  if (now < target.ejected_until || target.probes_out == 0) return;
+  if (target.probes_out == 0) return;
   --target.probes_out;
+  if (now < target.ejected_until) return;
   if (ok) {
     target.ejected = false;
     target.consecutive_failures = 0;
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,315 @@
+#include "lentilcross/admission.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <queue>
+#include <set>
+
+#include "lentilcross/shedding.h"
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::milliseconds;
+using Sample = ConcurrencyLimit::Sample;
+
+const Instant kStart{std::chrono::hours(1)};
+
+TargetAdmission::Entry MakeEntry(std::uint64_t number, Importance importance,
+                                 std::uint64_t organisation = 1) {
+  TargetAdmission::Entry entry;
+  entry.number = number;
+  entry.request = {number * 7919, number};
+  entry.organisation = OrganisationId(organisation);
+  entry.importance = importance;
+  entry.deadline = kStart + std::chrono::minutes(1);
+  return entry;
+}
+
+TargetAdmission MakeFull(int limit) {
+  TargetAdmission::Init init;
+  init.limit.initial = limit;
+  init.limit.max = limit;
+  TargetAdmission admission(init);
+  for (int i = 0; i < limit; ++i) {
+    admission.Offer(
+        MakeEntry(1000 + static_cast<std::uint64_t>(i), Importance::kStandard),
+        kStart);
+  }
+  return admission;
+}
+
+// A target that serves `slots` calls at a time, each for `service`, with as
+// many calls in flight as the limit allows.
+class SaturatedTarget {
+ public:
+  SaturatedTarget(ConcurrencyLimit& limit, int slots)
+      : limit_(limit), slots_(slots) {}
+
+  void RunFor(Duration time, Duration service) {
+    const Instant end = now_ + time;
+    while (now_ < end) {
+      while (static_cast<int>(calls_.size()) < limit_.limit()) {
+        // With all slots taken a call starts when one that is ahead ends.
+        const auto ahead = calls_.size();
+        const Instant start =
+            ahead < static_cast<std::size_t>(slots_)
+                ? now_
+                : std::max(
+                      now_,
+                      ends_[ends_.size() - static_cast<std::size_t>(slots_)]);
+        calls_.push({start + service, now_});
+        ends_.push_back(start + service);
+      }
+      const auto [ended, begun] = calls_.front();
+      const int in_flight = static_cast<int>(calls_.size());
+      calls_.pop();
+      now_ = std::max(now_, ended);
+      limit_.Record(Sample::kOk, now_ - begun, in_flight, now_);
+    }
+  }
+  Instant now() const { return now_; }
+
+ private:
+  ConcurrencyLimit& limit_;
+  int slots_;
+  Instant now_ = kStart;
+  std::queue<std::pair<Instant, Instant>> calls_;
+  std::vector<Instant> ends_;
+};
+
+// Number of starts of each organisation while all of them keep `queued` calls
+// waiting.
+std::map<std::uint64_t, int> StartsWithBacklog(
+    const std::map<std::uint64_t, double>& weights) {
+  TargetAdmission admission = MakeFull(1);
+  std::map<std::uint64_t, std::uint64_t> owners;
+  std::map<std::uint64_t, int> starts;
+  std::uint64_t number = 1;
+  std::uint64_t running = 1000;
+  Instant now = kStart;
+  for (int step = 0; step < 2000; ++step) {
+    now += milliseconds(2);
+    for (const auto& [organisation, weight] : weights) {
+      auto entry = MakeEntry(number, Importance::kLookup, organisation);
+      entry.weight = weight;
+      owners[number++] = organisation;
+      admission.Offer(entry, now);
+    }
+    for (const auto started :
+         admission.Finish(running, Sample::kOk, now).start) {
+      running = started;
+      ++starts[owners[started]];
+    }
+  }
+  return starts;
+}
+
+}  // namespace
+
+// Guards against idle slots (limit too low) and against a queue inside the
+// target (limit too high), from a cold start.
+BOOST_AUTO_TEST_CASE(limit_approaches_the_slots) {
+  for (const int slots : {10, 60}) {
+    ConcurrencyLimit limit({});
+    SaturatedTarget target(limit, slots);
+    target.RunFor(std::chrono::seconds(5), milliseconds(20));
+    BOOST_TEST(limit.limit() >= slots);
+    BOOST_TEST(limit.limit() <= 2 * slots);
+  }
+}
+
+// Guards against the collapse in which a slower target lowers throughput, the
+// limit follows, and the limit then keeps throughput low.
+BOOST_AUTO_TEST_CASE(limit_survives_a_slow_target) {
+  ConcurrencyLimit limit({});
+  SaturatedTarget target(limit, 10);
+  target.RunFor(std::chrono::seconds(5), milliseconds(20));
+  target.RunFor(std::chrono::seconds(20), milliseconds(100));
+  BOOST_TEST(limit.limit() >= 10);
+  BOOST_TEST(limit.limit() <= 20);
+  target.RunFor(std::chrono::seconds(5), milliseconds(20));
+  BOOST_TEST(limit.limit() >= 10);
+}
+
+// Guards against a limit that ignores refusals of the target, or that stays
+// where it was when the target restarts cold.
+BOOST_AUTO_TEST_CASE(limit_falls_with_refusals_and_on_restart) {
+  ConcurrencyLimit limit({64, 1, 4096});
+  Instant now = kStart;
+  for (int i = 0; i < 2000; ++i) {
+    now += milliseconds(1);
+    limit.Record(i % 2 == 0 ? Sample::kRefused : Sample::kOk, milliseconds(20),
+                 limit.limit(), now);
+  }
+  BOOST_TEST(limit.limit() < 40);
+  limit.Reset(now);
+  BOOST_TEST(limit.limit() == 64);
+}
+
+// Guards against critical calls that wait behind, or are refused before, lower
+// ones.
+BOOST_AUTO_TEST_CASE(higher_rank_evicts_the_lowest) {
+  TargetAdmission admission = MakeFull(1);
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    BOOST_TEST(admission.Offer(MakeEntry(i, Importance::kLookup), kStart)
+                   .refuse.empty());
+  }
+  const auto actions =
+      admission.Offer(MakeEntry(9, Importance::kCritical), kStart);
+  BOOST_REQUIRE(actions.refuse.size() == 1);
+  BOOST_TEST(actions.refuse[0].number != 9);
+  BOOST_TEST((actions.refuse[0].reason == Reason::kOverloaded));
+  BOOST_TEST(actions.refuse[0].retry_after.count() > 0);
+  const auto next = admission.Finish(1000, Sample::kOk, kStart);
+  BOOST_REQUIRE(next.start.size() == 1);
+  BOOST_TEST(next.start[0] == 9);
+}
+
+// Guards against a hop that keeps other requests than the hops before it.
+BOOST_AUTO_TEST_CASE(equals_are_shed_by_request_hash) {
+  TargetAdmission admission = MakeFull(1);
+  std::map<std::uint32_t, std::uint64_t> by_rank;
+  TargetAdmission::Actions actions;
+  for (std::uint64_t i = 1; i <= 9; ++i) {
+    const auto entry = MakeEntry(i, Importance::kLookup);
+    by_rank[RankOf(entry.importance, entry.request)] = i;
+    actions = admission.Offer(entry, kStart);
+  }
+  BOOST_REQUIRE(actions.refuse.size() == 1);
+  BOOST_TEST(actions.refuse[0].number == by_rank.begin()->second);
+}
+
+// Guards against an organisation that takes more than its weighted share by
+// sending more.
+BOOST_AUTO_TEST_CASE(backlogged_organisations_share_by_weight) {
+  auto starts = StartsWithBacklog({{1, 1.0}, {2, 3.0}});
+  const double ratio = static_cast<double>(starts[2]) / starts[1];
+  BOOST_TEST(ratio > 2.7);
+  BOOST_TEST(ratio < 3.3);
+}
+
+// Guards against work for callers that have given up.
+BOOST_AUTO_TEST_CASE(expired_entries_are_dropped) {
+  TargetAdmission admission = MakeFull(1);
+  auto entry = MakeEntry(1, Importance::kCritical);
+  entry.deadline = kStart + milliseconds(10);
+  admission.Offer(entry, kStart);
+  const auto actions = admission.Tick(kStart + milliseconds(11));
+  BOOST_REQUIRE(actions.refuse.size() == 1);
+  BOOST_TEST((actions.refuse[0].reason == Reason::kDeadlineExceeded));
+  BOOST_TEST(admission.queued() == 0);
+}
+
+// Guards against a queue in which every call waits until it is too late, and
+// against a lower call that starts in place of a higher one that was dropped.
+BOOST_AUTO_TEST_CASE(waiting_is_bounded_lowest_first) {
+  TargetAdmission admission = MakeFull(1);
+  admission.Offer(MakeEntry(1, Importance::kCritical), kStart);
+  admission.Offer(MakeEntry(2, Importance::kLookup), kStart + milliseconds(40));
+  BOOST_TEST(admission.Tick(kStart + milliseconds(60)).refuse.empty());
+  BOOST_TEST(admission.Tick(kStart + milliseconds(95)).refuse.size() == 2);
+}
+
+// Guards against a standing queue that serves the calls closest to their end.
+BOOST_AUTO_TEST_CASE(standing_queue_is_last_in_first_out) {
+  TargetAdmission admission = MakeFull(2);
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    admission.Offer(MakeEntry(i, Importance::kLookup),
+                    kStart + milliseconds(i));
+  }
+  const auto early =
+      admission.Finish(1000, Sample::kOk, kStart + milliseconds(5));
+  BOOST_TEST(early.start == std::vector<std::uint64_t>{1});
+  const auto late =
+      admission.Finish(1001, Sample::kOk, kStart + milliseconds(40));
+  BOOST_TEST(late.start == std::vector<std::uint64_t>{4});
+}
+
+// Guards against slow services behind a target that take its room.
+BOOST_AUTO_TEST_CASE(onward_calls_take_no_room) {
+  TargetAdmission admission = MakeFull(1);
+  admission.Offer(MakeEntry(1, Importance::kLookup), kStart);
+  const auto actions = admission.BeginOnward(1000, kStart + milliseconds(1));
+  BOOST_TEST(actions.start == std::vector<std::uint64_t>{1});
+  BOOST_TEST(admission.in_flight() == 1);
+  admission.EndOnward(1000, kStart + milliseconds(2));
+  BOOST_TEST(admission.in_flight() == 2);
+  admission.Finish(1000, Sample::kOk, kStart + milliseconds(3));
+  admission.Finish(1, Sample::kOk, kStart + milliseconds(3));
+  BOOST_TEST(admission.in_flight() == 0);
+  BOOST_TEST(admission.started() == 0U);
+}
+
+// Guards against overload that outlives its trigger: levels must rise with the
+// overload and go without traffic.
+BOOST_AUTO_TEST_CASE(levels_rise_and_expire) {
+  TargetAdmission admission = MakeFull(4);
+  Instant now = kStart;
+  std::vector<std::uint64_t> running = {1000, 1001, 1002, 1003};
+  std::size_t oldest = 0;
+  for (std::uint64_t i = 1; i <= 2000; ++i) {
+    now += milliseconds(1);
+    auto actions = admission.Offer(MakeEntry(i, Importance::kLookup), now);
+    if (i % 4 == 0) {
+      actions = admission.Finish(running[oldest++], Sample::kOk, now);
+      running.insert(running.end(), actions.start.begin(), actions.start.end());
+    }
+  }
+  const std::uint32_t level = admission.level(OrganisationId(1), now);
+  BOOST_TEST(level > RankOf(Importance::kBackground, {}));
+  BOOST_TEST(level < 2U << kRankHashBits);
+  BOOST_TEST(
+      admission.level(OrganisationId(1), now + std::chrono::seconds(1)) == 0U);
+}
+
+// Guards, for arbitrary sequences of events, against calls that are lost or
+// answered twice, a queue without bound, and a critical call that is refused
+// while a lower one waits.
+BOOST_AUTO_TEST_CASE(every_call_gets_one_decision) {
+  BOOST_TEST(rc::check([](const std::vector<std::uint16_t>& events) {
+    TargetAdmission admission = MakeFull(2);
+    std::set<std::uint64_t> running = {1000, 1001};
+    std::map<std::uint64_t, Importance> waiting;
+    Instant now = kStart;
+    std::uint64_t number = 2000;
+    const auto apply = [&](const TargetAdmission::Actions& actions) {
+      for (const auto started : actions.start) {
+        RC_ASSERT(waiting.erase(started) == 1U);
+        running.insert(started);
+      }
+      for (const auto& refused : actions.refuse) {
+        const auto importance = waiting.at(refused.number);
+        waiting.erase(refused.number);
+        if (refused.reason != Reason::kOverloaded) continue;
+        for (const auto& [other, lower] : waiting) {
+          RC_ASSERT(lower >= importance);
+        }
+      }
+    };
+    for (const std::uint16_t event : events) {
+      now += milliseconds(event % 7);
+      if (event % 3 == 0 && !running.empty()) {
+        const auto ended = *running.begin();
+        running.erase(running.begin());
+        apply(admission.Finish(ended, Sample::kOk, now));
+      } else if (event % 11 == 0) {
+        apply(admission.Tick(now));
+      } else {
+        const auto importance = static_cast<Importance>(event / 8 % 4);
+        auto entry = MakeEntry(++number, importance, event / 32 % 3 + 1);
+        entry.deadline = now + milliseconds(event % 200);
+        waiting[number] = importance;
+        apply(admission.Offer(entry, now));
+      }
+      RC_ASSERT(admission.queued() == waiting.size());
+      RC_ASSERT(admission.started() == running.size());
+      RC_ASSERT(admission.queued() <= 64U);
+    }
+  }));
+}
+
+}  // namespace lentilcross
--- /dev/null
+++ b/tests/shedding_test.cpp
@@ -0,0 +1,105 @@
+#include "lentilcross/shedding.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant kStart{std::chrono::hours(1)};
+const RouteId kRoute(1);
+const OrganisationId kOrganisation(2);
+const ServiceId kService(3);
+constexpr std::uint32_t kAllLookups = 2U << kRankHashBits;
+
+struct Fixture {
+  EntryGate gate{EntryGate::Init{}};
+  Random random{1};
+
+  int Admitted(Importance importance, Instant now, int count = 1000) {
+    int admitted = 0;
+    for (int i = 0; i < count; ++i) {
+      admitted += gate.Admit(kRoute, kOrganisation, importance,
+                             RequestId::Make(random), now, random)
+                      .admitted;
+    }
+    return admitted;
+  }
+};
+
+}  // namespace
+
+// Guards against deposits and bookings that are shed before lookups (P2), and
+// against hops that disagree about a request.
+BOOST_AUTO_TEST_CASE(rank_orders_importance_first_and_is_stable) {
+  BOOST_TEST(rc::check([](std::uint64_t a, std::uint64_t b) {
+    const RequestId one{a, b};
+    const RequestId two{b, a};
+    RC_ASSERT(RankOf(Importance::kCritical, one) >
+              RankOf(Importance::kStandard, two));
+    RC_ASSERT(RankOf(Importance::kStandard, one) >
+              RankOf(Importance::kLookup, two));
+    RC_ASSERT(RankOf(Importance::kLookup, one) >
+              RankOf(Importance::kBackground, two));
+    RC_ASSERT(RankOf(Importance::kLookup, one) ==
+              RankOf(Importance::kLookup, one));
+  }));
+}
+
+// Guards against requests that run through six services to fail at the seventh.
+BOOST_FIXTURE_TEST_CASE(refuses_below_the_highest_level_behind, Fixture) {
+  gate.OnReply(kRoute, kOrganisation,
+               {{ServiceId(7), 0}, {kService, 3U << (kRankHashBits - 1)}},
+               kStart);
+  const int lookups = Admitted(Importance::kLookup, kStart);
+  BOOST_TEST(lookups > 430);
+  BOOST_TEST(lookups < 570);
+  BOOST_TEST(Admitted(Importance::kCritical, kStart) == 1000);
+  const auto other = gate.Admit(kRoute, OrganisationId(9),
+                                Importance::kBackground, {}, kStart, random);
+  BOOST_TEST(other.admitted);
+}
+
+// Guards against overload that lasts because old levels do.
+BOOST_FIXTURE_TEST_CASE(levels_expire, Fixture) {
+  gate.OnReply(kRoute, kOrganisation, {{kService, kAllLookups}}, kStart);
+  BOOST_TEST(gate.level(kRoute, kOrganisation, kStart + milliseconds(400)) ==
+             kAllLookups);
+  const Instant fading = kStart + milliseconds(750);
+  BOOST_TEST(gate.level(kRoute, kOrganisation, fading) < kAllLookups);
+  const Instant later = kStart + milliseconds(1001);
+  BOOST_TEST(gate.level(kRoute, kOrganisation, later) == 0U);
+  BOOST_TEST(Admitted(Importance::kBackground, later) == 1000);
+}
+
+// Guards against a gate that never learns that a level fell, against probes of
+// lower importance than the requests that are refused, and against more probes
+// than their fraction.
+BOOST_FIXTURE_TEST_CASE(probes_only_at_the_level, Fixture) {
+  gate.OnReply(kRoute, kOrganisation, {{kService, kAllLookups - 1}}, kStart);
+  const int lookups = Admitted(Importance::kLookup, kStart, 10000);
+  BOOST_TEST(lookups > 50);
+  BOOST_TEST(lookups < 200);
+  BOOST_TEST(Admitted(Importance::kBackground, kStart, 10000) == 0);
+}
+
+// Guards against callers that all come back at the same moment.
+BOOST_FIXTURE_TEST_CASE(refusals_say_when_to_retry_with_jitter, Fixture) {
+  gate.OnReply(kRoute, kOrganisation, {{kService, kAllLookups}}, kStart);
+  std::set<Duration> advice;
+  for (int i = 0; i < 10; ++i) {
+    const auto verdict =
+        gate.Admit(kRoute, kOrganisation, Importance::kBackground,
+                   RequestId::Make(random), kStart, random);
+    BOOST_TEST(!verdict.admitted);
+    BOOST_TEST((verdict.retry_after >= milliseconds(500)));
+    advice.insert(verdict.retry_after);
+  }
+  BOOST_TEST(advice.size() > 5U);
+}
+
+}  // namespace lentilcross
--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -41,8 +41,8 @@
   for (const Scenario& scenario : AllScenarios()) {
     if (!SelectedName(selection.scenarios, scenario.name)) continue;
     for (const Policy policy : kPolicies) {
-      if (!Selected(selection.policies, std::string(ToString(policy))))
-        continue;
+      const std::string name = ToString(policy);
+      if (!Selected(selection.policies, name)) continue;
       for (const auto& deployment : selection.deployments) {
         for (const int depth : selection.depths) {
           for (const std::uint64_t seed : selection.seeds) {
@@ -70,6 +70,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(jobs));
   for (int i = 0; i < jobs; ++i) threads.emplace_back(work);
   for (auto& thread : threads) thread.join();
 }
--- a/tools/bench/measures.cpp
+++ b/tools/bench/measures.cpp
@@ -1,6 +1,7 @@
 #include "measures.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <numeric>
 
@@ -97,7 +98,7 @@
   static constexpr int kSomeRepeats = 1000;
   static double Sum(const std::vector<double>& bins, double from, double to) {
     const auto at = [&](double time) {
-      const auto bin = static_cast<std::ptrdiff_t>(time / BinSeconds() + 0.5);
+      const std::ptrdiff_t bin = std::lround(time / BinSeconds());
       return bins.begin() +
              std::min(bin, static_cast<std::ptrdiff_t>(bins.size()));
     };
