Admit at entry whatever ranks above an admitted importance

Cause: a gate hears the levels of organisations at different times, and refused critical requests of one while it admitted lower ones of another. Change: the gate refuses no importance above one that it admitted in the last 20 ms on the route.

--- a/include/lentilcross/shedding.h
+++ b/include/lentilcross/shedding.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -18,7 +19,8 @@
 
 /// Refuses requests at entry that would be refused by a service behind their
 /// route. Learns the services behind a route, and their levels for each
-/// organisation, from replies.
+/// organisation, from replies. Never refuses a request while it admits requests
+/// of lower importance on the same route.
 class EntryGate {
  public:
   struct Init {
@@ -66,11 +68,16 @@
       return key.route.value() ^ (key.organisation.value() * 31);
     }
   };
+  /// When requests of each importance were last admitted on a route.
+  using AdmittedAt = std::array<Instant, kImportanceCount>;
+  static bool LowerAdmitted(const AdmittedAt& admitted, Importance importance,
+                            Instant now);
   double Current(const Level& level, Instant now) const;
 
   Init init_;
   Stats stats_;
   std::unordered_map<Key, std::vector<Level>, KeyHash> levels_;
+  std::unordered_map<RouteId, AdmittedAt> admitted_;
 };
 
 }  // namespace lentilcross
--- a/src/shedding.cpp
+++ b/src/shedding.cpp
@@ -12,6 +12,10 @@
 // this share, or further when the last reply is longer ago.
 constexpr double kSmoothing = 0.1;
 constexpr Seconds kSmoothingTime{0.1};
+// Levels of organisations are heard at different times, so that one may still
+// be in a lower importance than another. Within this time both count as in
+// force.
+constexpr Duration kSameTime = std::chrono::milliseconds(20);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -43,12 +47,24 @@
   return static_cast<std::uint32_t>(highest);
 }
 
+bool EntryGate::LowerAdmitted(const AdmittedAt& admitted, Importance importance,
+                              Instant now) {
+  const auto* const end =
+      admitted.begin() + static_cast<std::ptrdiff_t>(importance);
+  return std::any_of(admitted.begin(), end, [now](Instant at) {
+    return at != Instant{} && now - at < kSameTime;
+  });
+}
+
 EntryGate::Verdict EntryGate::Admit(RouteId route, OrganisationId organisation,
                                     Importance importance,
                                     const RequestId& request, Instant now,
                                     Random& random) {
   const std::uint32_t refuse_below = level(route, organisation, now);
-  if (RankOf(importance, request) >= refuse_below) {
+  AdmittedAt& admitted = admitted_[route];
+  const bool ranks = RankOf(importance, request) >= refuse_below;
+  if (ranks || LowerAdmitted(admitted, importance, now)) {
+    admitted[static_cast<std::size_t>(importance)] = now;
     ++stats_.admitted;
     return {};
   }
@@ -58,6 +74,7 @@
       static_cast<std::uint32_t>(importance) == refuse_below >> kRankHashBits;
   std::uniform_real_distribution<double> uniform(0, 1);
   if (marginal && uniform(random) < init_.probe_fraction) {
+    admitted[static_cast<std::size_t>(importance)] = now;
     ++stats_.admitted;
     ++stats_.probes;
     return {};
--- a/tests/shedding_test.cpp
+++ b/tests/shedding_test.cpp
@@ -87,6 +87,20 @@
   BOOST_TEST(Admitted(Importance::kBackground, kStart, 10000) == 0);
 }
 
+// Guards against a critical request that is refused because of the level of its
+// organisation while lower requests of another one are admitted.
+BOOST_FIXTURE_TEST_CASE(nothing_above_an_admitted_importance_is_refused,
+                        Fixture) {
+  gate.OnReply(kRoute, kOrganisation, {{kService, ~0U}}, kStart);
+  BOOST_TEST(Admitted(Importance::kCritical, kStart) < 100);
+  gate.Admit(kRoute, OrganisationId(9), Importance::kLookup, {}, kStart,
+             random);
+  BOOST_TEST(Admitted(Importance::kCritical, kStart + milliseconds(10)) ==
+             1000);
+  BOOST_TEST(Admitted(Importance::kLookup, kStart + milliseconds(10)) == 0);
+  BOOST_TEST(Admitted(Importance::kCritical, kStart + milliseconds(200)) < 100);
+}
+
 // Guards against callers that all come back at the same moment.
 BOOST_FIXTURE_TEST_CASE(refusals_say_when_to_retry_with_jitter, Fixture) {
   gate.OnReply(kRoute, kOrganisation, {{kService, kAllLookups}}, kStart);
--- a/tools/bench/node.cpp
+++ b/tools/bench/node.cpp
@@ -100,8 +100,9 @@
   const auto found = held_.find(refused.number);
   const Held held = std::move(found->second);
   held_.erase(found);
-  CountRefused(*held.request, held.arrived);
+  // A call that can no longer end in time is not refused for a lower one.
   const bool late = refused.reason == Reason::kDeadlineExceeded;
+  if (!late) CountRefused(*held.request, held.arrived);
   held.on_reply({late ? CallEnd::kLate : CallEnd::kShed,
                  held.extra,
                  {OwnLevel(*held.request)}});
