Judge idleness and started importances by their share of a window

Cause: at full load a target with 10 slots has short gaps in nearly every 50 ms window, so that its capacity estimate grew by a tenth each time and gates let nearly half more through than it could serve. Change: a window is idle if half of its events found room; an importance counts as started with a tenth of the starts; the estimate of slots, without its margin, bounds the growth.

--- a/include/lentilcross/admission.h
+++ b/include/lentilcross/admission.h
@@ -27,6 +27,8 @@
   explicit ConcurrencyLimit(const Init& init);
 
   int limit() const;
+  /// Calls that the target is estimated to serve at once; the limit is above.
+  double estimate() const;
   /// Latency of a call that does not queue inside the target; 0 if unknown or
   /// not observed lately.
   Duration base_latency(Instant now) const;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -84,7 +84,7 @@
     }
   }
   if (queue.size() == 0) queue_empty_at = now;
-  if (has_room()) levels.CountIdle();
+  levels.CountRoom(has_room());
 }
 
 void TargetAdmission::Impl::Shed(const Entry& entry, Reason reason,
@@ -119,7 +119,7 @@
 
 void TargetAdmission::Impl::Observe(Instant now) {
   const double base = Seconds(limit.base_latency(now)).count();
-  levels.Update(base > 0 ? limit.limit() / base : 0, now);
+  levels.Update(base > 0 ? limit.estimate() / base : 0, now);
 }
 
 TargetAdmission::TargetAdmission(const Init& init)
@@ -141,6 +141,7 @@
   } else if (impl.queue.size() == 0 && impl.has_room()) {
     impl.Start(entry, now, actions);
     impl.queue_empty_at = now;
+    impl.levels.CountRoom(impl.has_room());
   } else {
     impl.queue.Push(entry, now);
     ++impl.stats.queued;
--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -51,11 +51,14 @@
 int ConcurrencyLimit::limit() const {
   const bool probing =
       phase_ == Phase::kDraining || phase_ == Phase::kMeasuring;
-  const double limit =
-      probing ? kProbeShare * (limit_ - kMarginCalls) / kMargin : limit_;
+  const double limit = probing ? kProbeShare * estimate() : limit_;
   return static_cast<int>(std::lround(std::clamp(limit, init_.min, init_.max)));
 }
 
+double ConcurrencyLimit::estimate() const {
+  return (limit_ - kMarginCalls) / kMargin;
+}
+
 Duration ConcurrencyLimit::base_latency(Instant now) const {
   if (now - last_sample_ > kBaseLifetime) return Duration::zero();
   return std::chrono::duration_cast<Duration>(Seconds(base_));
--- a/src/level_estimator.cpp
+++ b/src/level_estimator.cpp
@@ -20,6 +20,9 @@
 // lost goodput, a call that is shed here cost only the work before it.
 constexpr double kSurplus = 1.05;
 constexpr double kGrowth = 1.1;
+// One low call in a short gap does not make its importance admissible.
+constexpr double kFewStarts = 0.1;
+constexpr double kIdleShare = 0.5;
 constexpr double kFarAbove = 1.5;
 constexpr double kSmoothing = 0.3;
 constexpr double kFewestKept = 0.02;
@@ -69,12 +72,7 @@
     StartWindow(now);
     return;
   }
-  int lowest = 0;
-  while (lowest < kImportanceCount &&
-         starts_[static_cast<std::size_t>(lowest)] == 0) {
-    ++lowest;
-  }
-  lowest_started_[next_started_] = lowest;
+  lowest_started_[next_started_] = LowestInWindow();
   next_started_ = (next_started_ + 1) % kRecentStarts;
   EstimateCapacity(elapsed.count(), ceiling);
   for (auto& [id, organisation] : organisations_) {
@@ -89,13 +87,15 @@
   const int starts = std::accumulate(starts_.begin(), starts_.end(), 0);
   const double rate = starts / seconds;
   start_rate_ += kSmoothing * (rate - start_rate_);
-  if (shed_ > 0 && !idle_) {
+  // Short gaps are normal at full load.
+  const bool idle = idle_events_ > kIdleShare * events_;
+  if (shed_ > 0 && !idle) {
     const double sustained = kSurplus * rate;
     const double memory = std::clamp(kSamples / std::max(rate, 1.0),
                                      kShortestMemory, kLongestMemory);
     const double weight = capacity_ == 0 ? 1 : 1 - std::exp(-seconds / memory);
     capacity_ += weight * (sustained - capacity_);
-  } else if (idle_ && capacity_ > 0) {
+  } else if (idle && capacity_ > 0) {
     capacity_ = std::max(capacity_ * kGrowth, ceiling);
   }
   // Far above the demand it limits nothing, and coming back down takes long.
@@ -191,6 +191,17 @@
   }
 }
 
+// Lowest importance that makes up, with those below it, more than a few starts.
+int LevelEstimator::LowestInWindow() const {
+  const int total = std::accumulate(starts_.begin(), starts_.end(), 0);
+  int sum = 0;
+  for (int i = 0; i < kImportanceCount; ++i) {
+    sum += starts_[static_cast<std::size_t>(i)];
+    if (sum > kFewStarts * total) return i;
+  }
+  return kImportanceCount;
+}
+
 int LevelEstimator::LowestStarted() const {
   const int lowest =
       *std::min_element(lowest_started_.begin(), lowest_started_.end());
@@ -210,7 +221,8 @@
   window_start_ = now;
   starts_.fill(0);
   shed_ = 0;
-  idle_ = false;
+  events_ = 0;
+  idle_events_ = 0;
   for (auto& [id, organisation] : organisations_) {
     for (Demand& demand : organisation.demands) demand.seen = demand.unshed = 0;
   }
--- a/src/level_estimator.h
+++ b/src/level_estimator.h
@@ -19,8 +19,11 @@
                     Importance importance, std::uint32_t rank);
   void CountStart(Importance importance);
   void CountShed() { ++shed_; }
-  /// The target had room and nothing waited.
-  void CountIdle() { idle_ = true; }
+  /// After an event: whether the target had room and nothing waited.
+  void CountRoom(bool idle) {
+    ++events_;
+    if (idle) ++idle_events_;
+  }
   /// Closes the window if it is due. `ceiling` is the rate that the target is
   /// known to sustain, 0 if unknown.
   void Update(double ceiling, Instant now);
@@ -55,13 +58,15 @@
   double Shares(int marginal, double fill);
   void Remember();
   void StartWindow(Instant now);
+  int LowestInWindow() const;
   int LowestStarted() const;
 
   std::unordered_map<OrganisationId, Organisation> organisations_;
   Instant window_start_;
   std::array<int, kImportanceCount> starts_{};
   int shed_ = 0;
-  bool idle_ = false;
+  int events_ = 0;
+  int idle_events_ = 0;
   double start_rate_ = 0;
   double capacity_ = 0;           ///< Calls per second; 0: no limit is known.
   std::uint32_t base_level_ = 0;  ///< For organisations without arrivals.
