Keep hidden demand estimates for longer

Cause: under a lasting overload the estimate of what gates refuse aged within 2 s, so that the level could fall until a burst renewed it. Change: it ages in 30 s; growth of the capacity ends the overload all the same.

--- a/src/level_estimator.cpp
+++ b/src/level_estimator.cpp
@@ -31,6 +31,9 @@
 constexpr double kSamples = 300;
 constexpr double kShortestMemory = 0.15;
 constexpr double kLongestMemory = 2;
+// Shorter lets an estimate that is hidden by a lasting overload fall, and with it
+// the level, until a burst renews it.
+constexpr double kHiddenMemory = 30;
 constexpr int kFillSteps = 30;
 
 std::uint32_t LevelAt(int importance, double refused_share) {
@@ -117,7 +120,7 @@
   const double memory = std::clamp(kSamples / std::max(total, 1.0),
                                    kShortestMemory, kLongestMemory);
   const double decay = std::exp(-seconds / memory);
-  const double aging = std::exp(-seconds / kLongestMemory);
+  const double aging = std::exp(-seconds / kHiddenMemory);
   for (int i = 0; i < kImportanceCount; ++i) {
     Demand& demand = organisation.demands[static_cast<std::size_t>(i)];
     const double kept = KeptShare(i, organisation.highest_recent);
