--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -73,12 +73,18 @@
 void TargetAdmission::Impl::StartQueued(Instant now, Actions& actions) {
   const bool standing =
       now - queue_empty_at > init.longest_queue / kStandingDivisor;
+  const Duration needed = limit.base_latency(now);
   while (has_room() && queue.size() > 0) {
-    const auto next = queue.PopNext(standing, now);
-    Start(next->entry, now, actions);
+    const auto next = queue.PopNext(standing);
+    if (next->entry.deadline < now + needed) {
+      ++stats.expired;
+      Shed(next->entry, Reason::kDeadlineExceeded, actions);
+    } else {
+      Start(next->entry, now, actions);
+    }
   }
   if (queue.size() == 0) queue_empty_at = now;
-  if (has_room()) levels.CountIdle();
+  levels.CountRoom(has_room());
 }
 
 void TargetAdmission::Impl::Shed(const Entry& entry, Reason reason,
@@ -113,7 +119,7 @@
 
 void TargetAdmission::Impl::Observe(Instant now) {
   const double base = Seconds(limit.base_latency(now)).count();
-  levels.Update(base > 0 ? limit.limit() / base : 0, now);
+  levels.Update(base > 0 ? limit.estimate() / base : 0, now);
 }
 
 TargetAdmission::TargetAdmission(const Init& init)
@@ -135,6 +141,7 @@
   } else if (impl.queue.size() == 0 && impl.has_room()) {
     impl.Start(entry, now, actions);
     impl.queue_empty_at = now;
+    impl.levels.CountRoom(impl.has_room());
   } else {
     impl.queue.Push(entry, now);
     ++impl.stats.queued;
@@ -158,7 +165,6 @@
   const Duration latency = now - found->second.started - found->second.onward;
   impl.limit.Record(sample, latency, impl.in_flight(), now);
   impl.running.erase(found);
-  impl.DropExpired(now, actions);
   impl.StartQueued(now, actions);
   impl.Observe(now);
   return actions;
@@ -173,7 +179,6 @@
   if (++call.onward_calls > 1) return actions;
   call.onward_since = now;
   ++impl_->waiting;
-  impl_->DropExpired(now, actions);
   impl_->StartQueued(now, actions);
   return actions;
 }
@@ -193,8 +198,8 @@
 
 TargetAdmission::Actions TargetAdmission::Tick(Instant now) {
   Actions actions;
-  impl_->DropExpired(now, actions);
   impl_->StartQueued(now, actions);
+  impl_->DropExpired(now, actions);
   impl_->queue.Prune(now);
   impl_->Observe(now);
   return actions;
--- a/src/level_estimator.cpp
+++ b/src/level_estimator.cpp
@@ -20,6 +20,9 @@
 // lost goodput, a call that is shed here cost only the work before it.
 constexpr double kSurplus = 1.05;
 constexpr double kGrowth = 1.1;
+// One low call in a short gap does not make its importance admissible.
+constexpr double kFewStarts = 0.1;
+constexpr double kIdleShare = 0.5;
 constexpr double kFarAbove = 1.5;
 constexpr double kSmoothing = 0.3;
 constexpr double kFewestKept = 0.02;
@@ -28,6 +31,9 @@
 constexpr double kSamples = 300;
 constexpr double kShortestMemory = 0.15;
 constexpr double kLongestMemory = 2;
+// Shorter lets an estimate that is hidden by a lasting overload fall, and with it
+// the level, until a burst renews it.
+constexpr double kHiddenMemory = 30;
 constexpr int kFillSteps = 30;
 
 std::uint32_t LevelAt(int importance, double refused_share) {
@@ -69,6 +75,8 @@
     StartWindow(now);
     return;
   }
+  lowest_started_[next_started_] = LowestInWindow();
+  next_started_ = (next_started_ + 1) % kRecentStarts;
   EstimateCapacity(elapsed.count(), ceiling);
   for (auto& [id, organisation] : organisations_) {
     EstimateDemand(organisation, elapsed.count());
@@ -82,13 +90,15 @@
   const int starts = std::accumulate(starts_.begin(), starts_.end(), 0);
   const double rate = starts / seconds;
   start_rate_ += kSmoothing * (rate - start_rate_);
-  if (shed_ > 0 && !idle_) {
+  // Short gaps are normal at full load.
+  const bool idle = idle_events_ > kIdleShare * events_;
+  if (shed_ > 0 && !idle) {
     const double sustained = kSurplus * rate;
     const double memory = std::clamp(kSamples / std::max(rate, 1.0),
                                      kShortestMemory, kLongestMemory);
     const double weight = capacity_ == 0 ? 1 : 1 - std::exp(-seconds / memory);
     capacity_ += weight * (sustained - capacity_);
-  } else if (idle_ && capacity_ > 0) {
+  } else if (idle && capacity_ > 0) {
     capacity_ = std::max(capacity_ * kGrowth, ceiling);
   }
   // Far above the demand it limits nothing, and coming back down takes long.
@@ -110,7 +120,7 @@
   const double memory = std::clamp(kSamples / std::max(total, 1.0),
                                    kShortestMemory, kLongestMemory);
   const double decay = std::exp(-seconds / memory);
-  const double aging = std::exp(-seconds / kLongestMemory);
+  const double aging = std::exp(-seconds / kHiddenMemory);
   for (int i = 0; i < kImportanceCount; ++i) {
     Demand& demand = organisation.demands[static_cast<std::size_t>(i)];
     const double kept = KeptShare(i, organisation.highest_recent);
@@ -159,7 +169,11 @@
 void LevelEstimator::ComputeLevels() {
   double remaining = 0;
   const int marginal = capacity_ > 0 ? FindMarginal(remaining) : -1;
-  base_level_ = marginal < 0 ? 0 : LevelAt(marginal, 0);
+  // While calls of some importance start here, none above it is refused, even
+  // if a wrong estimate asks for it.
+  const int lowest = LowestStarted();
+  const std::uint32_t highest = LevelAt(lowest, 1 - kFewestKept);
+  base_level_ = marginal < 0 ? 0 : std::min(LevelAt(marginal, 0), highest);
   if (marginal < 0) {
     for (auto& [id, organisation] : organisations_) organisation.level = 0;
     return;
@@ -176,10 +190,27 @@
     const double wanted =
         organisation.demands[static_cast<std::size_t>(marginal)].rate;
     const double refused = wanted > 0 ? 1 - organisation.share / wanted : 0;
-    organisation.level = LevelAt(marginal, refused);
+    organisation.level = std::min(LevelAt(marginal, refused), highest);
   }
 }
 
+// Lowest importance that makes up, with those below it, more than a few starts.
+int LevelEstimator::LowestInWindow() const {
+  const int total = std::accumulate(starts_.begin(), starts_.end(), 0);
+  int sum = 0;
+  for (int i = 0; i < kImportanceCount; ++i) {
+    sum += starts_[static_cast<std::size_t>(i)];
+    if (sum > kFewStarts * total) return i;
+  }
+  return kImportanceCount;
+}
+
+int LevelEstimator::LowestStarted() const {
+  const int lowest =
+      *std::min_element(lowest_started_.begin(), lowest_started_.end());
+  return std::min(lowest, kImportanceCount - 1);
+}
+
 void LevelEstimator::Remember() {
   for (auto& [id, organisation] : organisations_) {
     organisation.recent[next_recent_] = organisation.level;
@@ -193,7 +224,8 @@
   window_start_ = now;
   starts_.fill(0);
   shed_ = 0;
-  idle_ = false;
+  events_ = 0;
+  idle_events_ = 0;
   for (auto& [id, organisation] : organisations_) {
     for (Demand& demand : organisation.demands) demand.seen = demand.unshed = 0;
   }
