--- a/tests/daemon/operator_test.cpp
+++ b/tests/daemon/operator_test.cpp
@@ -11,6 +11,7 @@
 #include "logging.h"
 #include "metrics.h"
 #include "operator_server.h"
+#include "settings.h"
 
 namespace lentilcross {
 namespace {
@@ -80,6 +81,20 @@
   BOOST_TEST(declared.size() > 60U);
 }
 
+// Guards against a metric that operators cannot look up.
+BOOST_AUTO_TEST_CASE(every_metric_is_documented) {
+  Findings findings;
+  const std::string page =
+      ReadFile(TEST_SOURCE_DIR "/docs/operations.md", findings);
+  BOOST_REQUIRE(findings.empty());
+  std::istringstream lines(MetricsText(SomeStats(), {}));
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind("# TYPE ", 0) != 0) continue;
+    const std::string name = line.substr(7, line.find(' ', 7) - 7);
+    BOOST_TEST(page.find("| `" + name + "` |") != std::string::npos, name);
+  }
+}
+
 // Guards against labels that end early and reasons that share a counter.
 BOOST_AUTO_TEST_CASE(metrics_carry_labels) {
   const std::string text = MetricsText(SomeStats(), {});
