Test the stand-ins; print failures and latency apart in the demo

Cause: tests and the demo rely on stand-ins that nothing checked, and the demo's summary listed the failures of single daemons among those of the whole load.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -43,3 +43,9 @@
                                 $<TARGET_FILE:lentilcross>)
   set_tests_properties(command PROPERTIES TIMEOUT 120)
 endif()
+
+if(TARGET standin_target)
+  add_test(NAME standin COMMAND ${CMAKE_SOURCE_DIR}/tests/standin_test.sh
+                                ${CMAKE_BINARY_DIR})
+  set_tests_properties(standin PROPERTIES TIMEOUT 60)
+endif()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -272,8 +272,10 @@
 
 echo "summary"
 sed -n 's/^  "\(elapsed_s\|offered\|ok\|attempts\|retries\)": \(.*\),$/  \1 \2/p' "$work/load.out"
-sed -n '/"reasons"/,/}/p; /"failures": {$/,/}/p; /"latency_ms"/,/}/p' "$work/load.out" |
-  grep -E '": [0-9]' | sed 's/^ *"\(.*\)": \(.*[0-9]\),\{0,1\}$/  \1 \2/' | sort -u
+for part in reasons failures latency_ms; do
+  sed -n "/^  \"$part\": {$/,/^  }/p" "$work/load.out" |
+    sed -n "s/^    \"\(.*\)\": \([0-9.]*\),\{0,1\}$/  $part: \1 \2/p"
+done
 echo "  deposits run $deposits_run"
 echo "expectations"
 expect "the load held its own (whole answers, rates and bursts, no cut request)" [ $load_status = 0 ]
