Check secrets and onward calls in the demo

Cause: the demo did not show that operators' outputs stay free of keys, nor that onward calls happened. Change: all logs and one daemon's status, metrics and audit trail are searched for every key and digest; the targets' onward calls are counted.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -270,6 +270,19 @@
 }
 read -r deposits_run deposits_twice <<<"$(deposits)"
 
+# What operators can read of one daemon, next to all logs.
+for path in status metrics "audit?since=0"; do
+  curl -s "http://$(address stock-mb-1 3)/$path" >>"$work/operator.log"
+done
+{
+  echo "$peer_key"
+  for name in "${!key_of[@]}"; do
+    echo "${key_of[$name]}"
+    printf %s "${key_of[$name]}" | sha256sum | cut -d' ' -f1
+  done
+} >"$work/secrets"
+shows_no_secret() { ! grep -q -F -f "$work/secrets" "$work"/*.log; }
+
 echo "summary"
 sed -n 's/^  "\(elapsed_s\|offered\|ok\|attempts\|retries\)": \(.*\),$/  \1 \2/p' "$work/load.out"
 for part in reasons failures latency_ms; do
@@ -282,7 +295,9 @@
 sed 's/^/          /' "$work/load.log"
 expect "no deposit ran twice ($deposits_run ran)" [ "$deposits_twice" = 0 ]
 expect "no target saw a key" [ "$(counter_sum keys_seen)" = 0 ]
+expect "no log, status, metric or audit record shows a key or its digest" shows_no_secret
 expect "every call carried a context" [ "$(counter_sum missing_context)" = 0 ]
+expect "targets made onward calls" [ "$(counter_sum onward_calls)" -gt 0 ]
 expect "the withdrawn key was refused everywhere after $withdrawal_ms ms (limit 4000)" \
   [ $withdrawn_everywhere = yes -a $withdrawal_ms -le 4000 ]
 expect "the preset was in force everywhere after $switch_ms ms (limit 4000)" \
