--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -194,10 +194,10 @@
   shift 2
   for host in "$@"; do answers "$host" "$organisation" "$status" || return 1; done
 }
-executions() {
-  curl -s "http://$(address "$1" 5)/counters" | sed 's/.*"executions":\([0-9]*\).*/\1/'
+counter_of() {  # counter_of HOST NAME: of its target
+  curl -s "http://$(address "$1" 5)/counters" | sed "s/.*\"$2\":\([0-9]*\).*/\1/"
 }
-has_executed() { [ "$(executions "$1")" -ge "$2" ]; }
+has_executed() { [ "$(counter_of "$1" executions)" -ge "$2" ]; }
 
 wait_until 10 "all daemons ready" field_is_everywhere ready true "${hosts[@]}"
 # A new process holds no quota before the handover time has passed.
@@ -257,9 +257,7 @@
 
 counter_sum() {  # counter_sum NAME: over all targets
   local sum=0 host
-  for host in "${hosts[@]}"; do
-    sum=$((sum + $(curl -s "http://$(address "$host" 5)/counters" | sed "s/.*\"$1\":\([0-9]*\).*/\1/")))
-  done
+  for host in "${hosts[@]}"; do sum=$((sum + $(counter_of "$host" "$1"))); done
   echo $sum
 }
 # Executions of one deposit at all targets; the id is its ticket.
@@ -303,6 +301,8 @@
 expect "the preset was in force everywhere after $switch_ms ms (limit 4000)" \
   [ $switched_everywhere = yes -a $switch_ms -le 4000 ]
 expect "the stopped daemon exited with status 0 (got $stop_status)" [ $stop_status = 0 ]
+expect "no request was cut at the target of the stopped daemon" \
+  [ "$(counter_of $stopped cancelled_running)" = 0 ]
 expect "the survivors still answer" wait_until 5 "survivors" answers_everywhere coopers 200 "${survivors[@]}"
 expect "the audit trail shows three versions" \
   [ "$($lentilcross audit --address "$(address stock-mb-1 3)" --json | grep -c '"version":[123][,}]')" = 3 ]
