Put clock, timers, links and target connections behind interfaces

The path of a request read the steady clock and used Asio timers, so a fault matrix could not run it in virtual time. A timer whose handler was already queued no longer fires after it was stopped.

--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -5,6 +5,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "asio_scheduler.h"
 #include "data_state.h"
 #include "drain.h"
 #include "http_front.h"
@@ -50,18 +51,26 @@
   return links;
 }
 
+struct Reactor {
+  boost::asio::io_context io{1};
+  AsioScheduler scheduler{io};
+};
+
 }  // namespace
 
 struct DataLoop::Impl {
-  Impl(const DaemonInit& daemon_init, std::unique_ptr<DataState> data_state)
+  Impl(const DaemonInit& daemon_init, std::unique_ptr<Reactor> reactor,
+       std::unique_ptr<DataState> data_state)
       : init(daemon_init),
+        reactor_owner(std::move(reactor)),
+        io(reactor_owner->io),
         state_owner(std::move(data_state)),
         state(*state_owner),
         links(io, LinksInit(init, state), MakeLinkHooks()),
         client(io, {}),
-        targets(io, state, client, init.targets),
-        outgoing(io, state, links, targets),
-        waits(io, state, {[this] { SendLoans(); }}),
+        targets(state, client, init.targets),
+        outgoing(state, links, targets),
+        waits(state, {[this] { SendLoans(); }}),
         ticket_calls(state, outgoing),
         peer_calls(state, links, targets,
                    [this](const PeerLinks::Peer& peer, Call&& call,
@@ -374,7 +383,8 @@
   }
 
   const DaemonInit init;
-  boost::asio::io_context io{1};
+  std::unique_ptr<Reactor> reactor_owner;
+  boost::asio::io_context& io;
   std::unique_ptr<DataState> state_owner;
   DataState& state;
   PeerLinks links;
@@ -401,8 +411,11 @@
 
 Result<std::unique_ptr<DataLoop>> DataLoop::Create(const DaemonInit& init,
                                                    Incarnation incarnation) {
-  BOOST_LEAF_AUTO(state, DataState::Create(init, incarnation));
-  auto impl = std::make_unique<Impl>(init, std::move(state));
+  auto reactor = std::make_unique<Reactor>();
+  BOOST_LEAF_AUTO(state,
+                  DataState::Create(init, incarnation, reactor->scheduler));
+  auto impl =
+      std::make_unique<Impl>(init, std::move(reactor), std::move(state));
   BOOST_LEAF_ASSIGN(impl->caller, impl->caller_front.Listen(init.caller));
   BOOST_LEAF_ASSIGN(impl->onward, impl->onward_front.Listen(init.onward));
   BOOST_LEAF_ASSIGN(impl->peer, impl->links.Listen(init.peer));
--- a/src/data_state.cpp
+++ b/src/data_state.cpp
@@ -14,7 +14,8 @@
 }  // namespace
 
 Result<std::unique_ptr<DataState>> DataState::Create(const DaemonInit& init,
-                                                     Incarnation incarnation) {
+                                                     Incarnation incarnation,
+                                                     Scheduler& scheduler) {
   const HostId self = HostId::FromName(init.host);
   const auto domain = FailureDomainId::FromName(init.failure_domain);
 
@@ -46,12 +47,26 @@
   member_init.incarnation = incarnation;
 
   return std::unique_ptr<DataState>(new DataState{
-      self, incarnation, domain, nullptr, false, false, false, KeyRing(),
-      std::move(rate), RetryBudget(RetryBudget::Init{}), std::move(tickets),
-      DispatchFence(DispatchFence::Init{}), std::move(tokens),
-      EntryGate(EntryGate::Init{}), std::move(router), Membership(member_init),
+      scheduler,
+      self,
+      incarnation,
+      domain,
+      nullptr,
+      false,
+      false,
+      false,
+      KeyRing(),
+      std::move(rate),
+      RetryBudget(RetryBudget::Init{}),
+      std::move(tickets),
+      DispatchFence(DispatchFence::Init{}),
+      std::move(tokens),
+      EntryGate(EntryGate::Init{}),
+      std::move(router),
+      Membership(member_init),
       Random(init.random_seed != 0 ? init.random_seed : incarnation.value()),
-      PipelineStats(), init.on_log});
+      PipelineStats(),
+      init.on_log});
 }
 
 }  // namespace lentilcross
--- a/src/data_state.h
+++ b/src/data_state.h
@@ -18,6 +18,7 @@
 #include "lentilcross/routing.h"
 #include "lentilcross/shedding.h"
 #include "lentilcross/tickets.h"
+#include "scheduler.h"
 
 namespace lentilcross {
 
@@ -25,7 +26,10 @@
 struct DataState {
   /// The error carries `Findings`.
   static Result<std::unique_ptr<DataState>> Create(const DaemonInit& init,
-                                                   Incarnation incarnation);
+                                                   Incarnation incarnation,
+                                                   Scheduler& scheduler);
+
+  Scheduler& scheduler;
 
   HostId self;
   Incarnation incarnation;
@@ -52,6 +56,8 @@
   LatencySummary request_latency{};
   LatencySummary target_latency{};
 
+  Instant Now() const { return scheduler.Now(); }
+
   std::uint64_t last_call = 0;
   /// Numbers increase; the fence of the receiver relies on that.
   CallNumber NextCall() { return CallNumber(++last_call); }
--- a/src/onward_pipeline.cpp
+++ b/src/onward_pipeline.cpp
@@ -11,8 +11,6 @@
 namespace lentilcross {
 namespace {
 
-using std::chrono::steady_clock;
-
 struct Onward {
   OnwardPipeline::ExchangeId exchange = 0;
   HttpRequest request;
@@ -78,7 +76,7 @@
       Refuse(onward, Reason::kBadRequest, "malformed Request-Timeout-Ms");
       return;
     }
-    onward->deadline = std::min(entry.deadline, steady_clock::now() + *timeout);
+    onward->deadline = std::min(entry.deadline, state.Now() + *timeout);
     onward->context = entry.context;
     ++onward->context.depth;
     if (onward->context.depth > LENTILCROSS_CONFIG_MAX_DEPTH) {
@@ -116,7 +114,7 @@
       Refuse(onward, Reason::kBadRequest, "POST with count from 1 to 64");
       return;
     }
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     std::vector<std::string> tickets;
     for (int i = 0; i < *count; ++i) {
       tickets.push_back(state.tickets.Issue(organisation, now));
--- a/src/onward_pipeline.h
+++ b/src/onward_pipeline.h
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "data_state.h"
-#include "http_front.h"
 #include "http_types.h"
 #include "outgoing_calls.h"
 #include "target_calls.h"
@@ -16,7 +15,7 @@
 /// for the request that the target works on. Runs on the thread `data`.
 class OnwardPipeline {
  public:
-  using ExchangeId = HttpFront::ExchangeId;
+  using ExchangeId = std::uint64_t;
   using Respond = std::function<void(ExchangeId, HttpResponse)>;
 
   OnwardPipeline(DataState& state, OutgoingCalls& outgoing,
--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -1,7 +1,6 @@
 #include "outgoing_calls.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -12,8 +11,6 @@
 namespace lentilcross {
 namespace {
 
-using std::chrono::steady_clock;
-
 /// Wait for the answer to a cancellation: the longest round trip of the design
 /// size (16 ms) and margin.
 constexpr Duration kCancelWait = std::chrono::milliseconds(50);
@@ -27,16 +24,16 @@
 };
 
 struct Outgoing {
-  Outgoing(boost::asio::io_context& io, OutgoingRequest&& outgoing)
+  Outgoing(Scheduler& scheduler, OutgoingRequest&& outgoing)
       : request(std::move(outgoing)),
         allowance(request.extra_attempts),
-        timer(io) {}
+        timer(scheduler.MakeTimer()) {}
 
   OutgoingCalls::Handle handle = 0;
   OutgoingRequest request;
   OutgoingCalls::Done done;
   AttemptAllowance allowance;
-  boost::asio::steady_timer timer;
+  std::unique_ptr<Timer> timer;
   AttemptHistory history;
   std::vector<TargetId> tried;
   std::vector<ServiceLevel> levels;
@@ -56,21 +53,17 @@
 }  // namespace
 
 struct OutgoingCalls::Impl : std::enable_shared_from_this<Impl> {
-  Impl(boost::asio::io_context& context, DataState& data_state,
-       PeerLinks& peer_links, TargetCalls& target_calls)
-      : io(context),
-        state(data_state),
-        links(peer_links),
-        targets(target_calls) {}
+  Impl(DataState& data_state, CallLinks& peer_links, TargetCalls& target_calls)
+      : state(data_state), links(peer_links), targets(target_calls) {}
 
   // ----- Attempts
 
   Handle Start(OutgoingRequest request, Done done) {
-    auto out = std::make_shared<Outgoing>(io, std::move(request));
+    auto out = std::make_shared<Outgoing>(state.scheduler, std::move(request));
     out->handle = ++last_handle;
     out->done = std::move(done);
     by_handle[out->handle] = out;
-    state.retry.RecordFirstAttempt(out->request.service, steady_clock::now());
+    state.retry.RecordFirstAttempt(out->request.service, state.Now());
     SetTimer(out, out->request.deadline);
     if (out->request.issuer) {
       SendToIssuer(out);
@@ -81,7 +74,7 @@
   }
 
   void Attempt(const OutgoingPtr& out) {
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     if (now >= out->request.deadline) {
       FinishRefused(out, Reason::kDeadlineExceeded, "deadline passed");
       return;
@@ -168,7 +161,7 @@
                  NotRun(out->call, Reason::kWithdrawnKey, "key withdrawn"));
       return;
     }
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     out->call.remaining = out->request.deadline - now;
     if (out->call.remaining <= Duration::zero()) {
       EndAttempt(out, NotRun(out->call, Reason::kDeadlineExceeded,
@@ -187,7 +180,7 @@
 
   void SendToIssuer(const OutgoingPtr& out) {
     out->host = out->request.issuer->host;
-    out->started = steady_clock::now();
+    out->started = state.Now();
     PrepareCall(out, out->started);
     CallPeer(out);
   }
@@ -196,7 +189,7 @@
   /// ticket.
   bool IsRightPeer(const OutgoingPtr& out, LinkId link) const {
     if (!out->request.issuer) return true;
-    const PeerLinks::Peer* peer = links.Describe(link);
+    const LinkPeer* peer = links.Describe(link);
     return peer != nullptr &&
            peer->incarnation == out->request.issuer->incarnation;
   }
@@ -220,7 +213,7 @@
                             out->call.extra_attempts);
     MergeLevels(out->levels, reply.levels);
     if (!out->request.issuer) {
-      const Instant now = steady_clock::now();
+      const Instant now = state.Now();
       state.router.OnEnd(out->target, ObservationOf(reply, out->abort_reason),
                          now - out->started, now);
     }
@@ -242,7 +235,7 @@
   bool MayRetry(const OutgoingPtr& out, const Reply& reply) {
     if (out->request.issuer || out->abort_reason != Reason::kNone) return false;
     if (!IsRetryable(reply, out->request.idempotent)) return false;
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     if (now >= out->request.deadline) return false;
     if (out->allowance.extra_attempts() == 0) return false;
     // A leaving daemon refuses a sender only until that has heard of it, so
@@ -262,7 +255,7 @@
   }
 
   void Finish(const OutgoingPtr& out, Reply reply) {
-    out->timer.cancel();
+    out->timer->Stop();
     by_handle.erase(out->handle);
     if (!IsAnswer(reply)) {
       if (!out->request.issuer) out->history.Judge(reply.refusal);
@@ -277,18 +270,17 @@
   // ----- Deadline and cancellation
 
   void SetTimer(const OutgoingPtr& out, Instant at) {
-    out->timer.expires_at(at);
-    out->timer.async_wait(
-        [weak = weak_from_this(), out](boost::system::error_code error) {
-          auto self = weak.lock();
-          if (error || !self || !out->done) return;
-          if (out->phase == Phase::kCancelling) {
-            self->EndAttempt(out, Unknown(out->call, out->abort_reason,
-                                          "the peer did not confirm"));
-          } else {
-            self->Abort(out, Reason::kDeadlineExceeded);
-          }
-        });
+    // The timer belongs to `out`, so it must not keep it.
+    out->timer->Start(at, [this, weak = std::weak_ptr<Outgoing>(out)] {
+      const OutgoingPtr expired = weak.lock();
+      if (!expired || !expired->done) return;
+      if (expired->phase == Phase::kCancelling) {
+        EndAttempt(expired, Unknown(expired->call, expired->abort_reason,
+                                    "the peer did not confirm"));
+      } else {
+        Abort(expired, Reason::kDeadlineExceeded);
+      }
+    });
   }
 
   void Abort(const OutgoingPtr& out, Reason reason) {
@@ -309,7 +301,7 @@
         ++state.stats.cancels_sent;
         out->phase = Phase::kCancelling;
         links.SendOn(out->link, Cancel{out->call.number});
-        SetTimer(out, steady_clock::now() + kCancelWait);
+        SetTimer(out, state.Now() + kCancelWait);
         return;
       case Phase::kCancelling:
       case Phase::kEnded:
@@ -398,9 +390,8 @@
     }
   }
 
-  boost::asio::io_context& io;
   DataState& state;
-  PeerLinks& links;
+  CallLinks& links;
   TargetCalls& targets;
   Handle last_handle = 0;
   std::unordered_map<Handle, OutgoingPtr> by_handle;
@@ -408,9 +399,9 @@
   std::unordered_map<HostId, std::vector<OutgoingPtr>> connecting;
 };
 
-OutgoingCalls::OutgoingCalls(boost::asio::io_context& io, DataState& state,
-                             PeerLinks& links, TargetCalls& targets)
-    : impl_(std::make_shared<Impl>(io, state, links, targets)) {}
+OutgoingCalls::OutgoingCalls(DataState& state, CallLinks& links,
+                             TargetCalls& targets)
+    : impl_(std::make_shared<Impl>(state, links, targets)) {}
 
 OutgoingCalls::~OutgoingCalls() = default;
 
--- a/src/outgoing_calls.h
+++ b/src/outgoing_calls.h
@@ -1,14 +1,13 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 
+#include "call_links.h"
 #include "data_state.h"
 #include "http_types.h"
 #include "lentilcross/peer_message.h"
-#include "peer_links.h"
 #include "target_calls.h"
 
 namespace lentilcross {
@@ -36,8 +35,7 @@
   using Handle = std::uint64_t;
   using Done = std::function<void(Reply&&)>;
 
-  OutgoingCalls(boost::asio::io_context& io, DataState& state, PeerLinks& links,
-                TargetCalls& targets);
+  OutgoingCalls(DataState& state, CallLinks& links, TargetCalls& targets);
   ~OutgoingCalls();
 
   /// `done` is called once, possibly before this returns. Its reply carries
--- a/src/peer_calls.cpp
+++ b/src/peer_calls.cpp
@@ -18,14 +18,14 @@
 }  // namespace
 
 struct PeerCalls::Impl : std::enable_shared_from_this<Impl> {
-  Impl(DataState& data_state, PeerLinks& peer_links, TargetCalls& target_calls,
+  Impl(DataState& data_state, CallLinks& peer_links, TargetCalls& target_calls,
        IssuerCall issuer)
       : state(data_state),
         links(peer_links),
         targets(target_calls),
         issuer_call(std::move(issuer)) {}
 
-  void OnCall(const PeerLinks::Peer& peer, Call&& call) {
+  void OnCall(const LinkPeer& peer, Call&& call) {
     ++state.stats.peer_calls;
     const CallNumber number = call.number;
     auto& calls = by_link[peer.link];
@@ -45,8 +45,7 @@
     if (!taken) Remove(peer.link, number);
   }
 
-  void StartIssuerCall(const PeerLinks::Peer& peer, Call&& call,
-                       ReplyHandler done) {
+  void StartIssuerCall(const LinkPeer& peer, Call&& call, ReplyHandler done) {
     const CallNumber number = call.number;
     Stop stop = issuer_call(peer, std::move(call), std::move(done));
     const auto link = by_link.find(peer.link);
@@ -74,7 +73,7 @@
     links.SendOn(link, failed);
   }
 
-  void OnCancel(const PeerLinks::Peer& peer, CallNumber number) {
+  void OnCancel(const LinkPeer& peer, CallNumber number) {
     const auto link = by_link.find(peer.link);
     if (link != by_link.end()) {
       const auto it = link->second.find(number);
@@ -90,7 +89,7 @@
     links.SendOn(peer.link, CancelAck{number, never_run});
   }
 
-  void OnLinkDown(const PeerLinks::Peer& peer) {
+  void OnLinkDown(const LinkPeer& peer) {
     const auto it = by_link.find(peer.link);
     if (it == by_link.end()) return;
     const InboundByNumber calls = std::move(it->second);
@@ -105,30 +104,28 @@
   }
 
   DataState& state;
-  PeerLinks& links;
+  CallLinks& links;
   TargetCalls& targets;
   IssuerCall issuer_call;
   std::unordered_map<LinkId, InboundByNumber> by_link;
 };
 
-PeerCalls::PeerCalls(DataState& state, PeerLinks& links, TargetCalls& targets,
+PeerCalls::PeerCalls(DataState& state, CallLinks& links, TargetCalls& targets,
                      IssuerCall issuer_call)
     : impl_(std::make_shared<Impl>(state, links, targets,
                                    std::move(issuer_call))) {}
 
 PeerCalls::~PeerCalls() = default;
 
-void PeerCalls::OnCall(const PeerLinks::Peer& peer, Call&& call) {
+void PeerCalls::OnCall(const LinkPeer& peer, Call&& call) {
   impl_->OnCall(peer, std::move(call));
 }
 
-void PeerCalls::OnCancel(const PeerLinks::Peer& peer, const Cancel& cancel) {
+void PeerCalls::OnCancel(const LinkPeer& peer, const Cancel& cancel) {
   impl_->OnCancel(peer, cancel.number);
 }
 
-void PeerCalls::OnLinkDown(const PeerLinks::Peer& peer) {
-  impl_->OnLinkDown(peer);
-}
+void PeerCalls::OnLinkDown(const LinkPeer& peer) { impl_->OnLinkDown(peer); }
 
 std::size_t PeerCalls::running() const {
   std::size_t count = 0;
--- a/src/peer_calls.h
+++ b/src/peer_calls.h
@@ -3,9 +3,9 @@
 #include <functional>
 #include <memory>
 
+#include "call_links.h"
 #include "data_state.h"
 #include "lentilcross/peer_message.h"
-#include "peer_links.h"
 #include "target_calls.h"
 
 namespace lentilcross {
@@ -18,17 +18,16 @@
   /// still follows.
   using Stop = std::function<void()>;
   /// Takes a call to this daemon as ticket issuer.
-  using IssuerCall =
-      std::function<Stop(const PeerLinks::Peer&, Call&&, ReplyHandler)>;
+  using IssuerCall = std::function<Stop(const LinkPeer&, Call&&, ReplyHandler)>;
 
-  PeerCalls(DataState& state, PeerLinks& links, TargetCalls& targets,
+  PeerCalls(DataState& state, CallLinks& links, TargetCalls& targets,
             IssuerCall issuer_call);
   ~PeerCalls();
 
-  void OnCall(const PeerLinks::Peer& peer, Call&& call);
-  void OnCancel(const PeerLinks::Peer& peer, const Cancel& cancel);
+  void OnCall(const LinkPeer& peer, Call&& call);
+  void OnCancel(const LinkPeer& peer, const Cancel& cancel);
   /// Replies can no longer be delivered: the calls are cancelled.
-  void OnLinkDown(const PeerLinks::Peer& peer);
+  void OnLinkDown(const LinkPeer& peer);
 
   std::size_t running() const;
 
--- a/src/peer_links.h
+++ b/src/peer_links.h
@@ -8,17 +8,15 @@
 #include <unordered_map>
 #include <vector>
 
+#include "call_links.h"
 #include "daemon_init.h"
 #include "lentilcross/peer_message.h"
 
 namespace lentilcross {
 
-/// Handle of one link. 0 is invalid; numbers are never reused.
-using LinkId = std::uint64_t;
-
 /// Authenticated links to other daemons. Links are opened when needed, by
 /// either side. All calls and hooks run on the thread `data`.
-class PeerLinks {
+class PeerLinks : public CallLinks {
  public:
   struct Init {
     HostId self;
@@ -37,13 +35,7 @@
     std::size_t max_pending = 16;    ///< Messages that wait for one link.
     std::uint64_t seed = 1;          ///< For jitter only.
   };
-  /// The other end of an authenticated link.
-  struct Peer {
-    LinkId link = 0;
-    HostId host;
-    Incarnation incarnation;
-    FailureDomainId failure_domain;
-  };
+  using Peer = LinkPeer;
   enum class DownKind : std::uint8_t { kClosed, kBroken, kSilent };
   struct Hooks {
     std::function<Version()> version;
@@ -57,7 +49,7 @@
   };
 
   PeerLinks(boost::asio::io_context& io, const Init& init, Hooks hooks);
-  ~PeerLinks();
+  ~PeerLinks() override;
 
   Result<Endpoint> Listen(const Endpoint& endpoint);
   void StopListening();
@@ -67,24 +59,24 @@
   void DialSeed(const Endpoint& endpoint);
 
   /// A link to the host, 0 if none is up.
-  LinkId Find(HostId host) const;
+  LinkId Find(HostId host) const override;
   /// The other end, null if the link is not up.
-  const Peer* Describe(LinkId link) const;
+  const Peer* Describe(LinkId link) const override;
   /// Time of the last heartbeat that the peer answered on this link. What it
   /// sent since then was sent later than that.
   Instant ConfirmedSince(LinkId link) const;
   /// Starts to open a link unless one is up or being opened. False if the host
   /// has no address or the last attempt failed a moment ago.
-  bool Connect(HostId host);
+  bool Connect(HostId host) override;
   /// False if the link is gone or its queue is full; nothing was sent then.
-  bool SendOn(LinkId link, const PeerMessage& message);
+  bool SendOn(LinkId link, const PeerMessage& message) override;
   /// Sends, or opens a link first. Drops the message if that fails.
   void SendTo(HostId host, PeerMessage message);
   /// Sends to every peer, once.
   void Broadcast(const PeerMessage& message);
   /// Counts requests outstanding on a link, in either direction. Silence is
   /// noticed faster while there are any.
-  void AddOutstanding(LinkId link, int change);
+  void AddOutstanding(LinkId link, int change) override;
   /// Closes all links with a closing handshake.
   void CloseAll();
 
--- a/src/rate_waits.cpp
+++ b/src/rate_waits.cpp
@@ -1,7 +1,6 @@
 #include "rate_waits.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <unordered_map>
 #include <utility>
@@ -10,8 +9,6 @@
 namespace lentilcross {
 namespace {
 
-using std::chrono::steady_clock;
-
 /// Requests that may wait for tokens at the same time.
 constexpr std::size_t kMaxWaiting = 8192;
 
@@ -31,11 +28,13 @@
 }  // namespace
 
 struct RateWaits::Impl : std::enable_shared_from_this<Impl> {
-  Impl(boost::asio::io_context& io, DataState& data_state, Hooks wait_hooks)
-      : state(data_state), hooks(std::move(wait_hooks)), timer(io) {}
+  Impl(DataState& data_state, Hooks wait_hooks)
+      : state(data_state),
+        hooks(std::move(wait_hooks)),
+        timer(state.scheduler.MakeTimer()) {}
 
   Handle Charge(OrganisationId organisation, Instant deadline, Done done) {
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     RetryOne(organisation, now);
     const RateBook::Charge charge =
         state.rate.TryCharge(organisation, Duration::zero(), now);
@@ -70,7 +69,7 @@
   }
 
   void Retry() {
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     std::vector<OrganisationId> organisations;
     for (const auto& [organisation, queue] : queues) {
       if (!queue.empty()) organisations.push_back(organisation);
@@ -131,24 +130,19 @@
       }
     }
     if (next == Instant::max()) return;
-    timer.expires_at(next);
-    timer.async_wait(
-        [weak = weak_from_this()](boost::system::error_code error) {
-          auto self = weak.lock();
-          if (!error && self) self->Retry();
-        });
+    timer->Start(next, [this] { Retry(); });
   }
 
   DataState& state;
   Hooks hooks;
-  boost::asio::steady_timer timer;
+  std::unique_ptr<Timer> timer;
   Handle last_handle = 0;
   std::size_t count = 0;
   std::unordered_map<OrganisationId, std::deque<Waiting>> queues;
 };
 
-RateWaits::RateWaits(boost::asio::io_context& io, DataState& state, Hooks hooks)
-    : impl_(std::make_shared<Impl>(io, state, std::move(hooks))) {}
+RateWaits::RateWaits(DataState& state, Hooks hooks)
+    : impl_(std::make_shared<Impl>(state, std::move(hooks))) {}
 
 RateWaits::~RateWaits() = default;
 
--- a/src/rate_waits.h
+++ b/src/rate_waits.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 
@@ -26,7 +25,7 @@
     std::function<void()> on_wait;
   };
 
-  RateWaits(boost::asio::io_context& io, DataState& state, Hooks hooks);
+  RateWaits(DataState& state, Hooks hooks);
   ~RateWaits();
 
   /// `done` is called once, possibly before this returns; then the result is 0.
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -10,8 +10,6 @@
 namespace lentilcross {
 namespace {
 
-using std::chrono::steady_clock;
-
 struct Entry {
   RequestPipeline::ExchangeId exchange = 0;
   HttpRequest request;
@@ -52,7 +50,7 @@
     ++state.stats.entry_requests;
     auto entry = std::make_shared<Entry>();
     entry->exchange = exchange;
-    entry->arrived = steady_clock::now();
+    entry->arrived = state.Now();
     entry->request = std::move(request);
     entry->configuration = state.configuration;
     entries[exchange] = entry;
@@ -78,7 +76,7 @@
       Refuse(entry, Reason::kBadRequest, "malformed Request-Timeout-Ms");
       return;
     }
-    entry->deadline = steady_clock::now() + *timeout;
+    entry->deadline = state.Now() + *timeout;
     if (!entry->route->open && !CheckKey(entry)) return;
     MakeContext(*entry);
     if (entry->route->importance < entry->configuration->preset.refuse_below) {
@@ -136,7 +134,7 @@
       entry->issuer = issuer;
       return true;
     }
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     const TicketBook::Use use = state.tickets.Claim(
         ticket, entry->context.organisation, entry->route->id, now);
     if (use.reason != Reason::kNone) {
@@ -151,7 +149,7 @@
     Reply reply = Refused(Reason::kTicketRequired,
                           "repeat the request with this Idempotency-Key");
     const std::string ticket =
-        state.tickets.Issue(entry->context.organisation, steady_clock::now());
+        state.tickets.Issue(entry->context.organisation, state.Now());
     HttpResponse response = MakeProblem(reply.refusal);
     response.headers.emplace_back(header::kIdempotencyKey, ticket);
     End(entry, reply, std::move(response));
@@ -164,7 +162,7 @@
       return;
     }
     if (!CheckKey(entry)) return;
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     std::vector<std::string> tickets;
     for (int i = 0; i < *count; ++i) {
       tickets.push_back(state.tickets.Issue(entry->key->organisation, now));
@@ -212,7 +210,7 @@
     const RequestContext& context = entry->context;
     const auto verdict = state.gate.Admit(
         entry->route->id, context.organisation, context.importance, context.id,
-        steady_clock::now(), state.random);
+        state.Now(), state.random);
     if (!verdict.admitted) {
       Refuse(entry, Reason::kOverloaded, "a service behind the route is full",
              verdict.retry_after);
@@ -256,7 +254,7 @@
     if (entry->ticket) FinishTicket(state.tickets, *entry->ticket, reply);
     if (entry->route != nullptr && !reply.levels.empty()) {
       state.gate.OnReply(entry->route->id, entry->context.organisation,
-                         reply.levels, steady_clock::now());
+                         reply.levels, state.Now());
     }
     AdviseRetry(reply.refusal);
     HttpResponse response = ToHttpResponse(Reply(reply));
@@ -282,7 +280,7 @@
     entry->ended = true;
     if (IsAnswer(reply)) {
       ++state.stats.answered;
-      state.request_latency.Add(steady_clock::now() - entry->arrived);
+      state.request_latency.Add(state.Now() - entry->arrived);
     } else {
       ++state.stats.refused[static_cast<std::size_t>(reply.refusal.reason)];
     }
--- a/src/request_pipeline.h
+++ b/src/request_pipeline.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 
 #include "data_state.h"
-#include "http_front.h"
 #include "http_types.h"
 #include "outgoing_calls.h"
 #include "rate_waits.h"
@@ -16,7 +14,8 @@
 /// Runs on the thread `data`.
 class RequestPipeline {
  public:
-  using ExchangeId = HttpFront::ExchangeId;
+  /// Handle of one request that waits for its response.
+  using ExchangeId = std::uint64_t;
   using Respond = std::function<void(ExchangeId, HttpResponse)>;
 
   RequestPipeline(DataState& state, OutgoingCalls& outgoing, RateWaits& waits,
--- /dev/null
+++ b/src/scheduler.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+/// One timer. `work` is not called after `Stop` or after the end of the timer.
+class Timer {
+ public:
+  virtual ~Timer() = default;
+
+  /// Calls `work` once at `at`. Replaces an earlier start.
+  virtual void Start(Instant at, std::function<void()> work) = 0;
+  virtual void Stop() = 0;
+};
+
+/// Clock and timers of the thread `data`. Tests replace them by virtual time.
+class Scheduler {
+ public:
+  virtual ~Scheduler() = default;
+
+  virtual Instant Now() const = 0;
+  virtual std::unique_ptr<Timer> MakeTimer() = 0;
+};
+
+}  // namespace lentilcross
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -1,7 +1,6 @@
 #include "target_calls.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 #include <utility>
 
@@ -25,8 +24,8 @@
 };
 
 struct Running {
-  Running(boost::asio::io_context& io, Call&& incoming)
-      : call(std::move(incoming)), timer(io) {}
+  Running(Scheduler& scheduler, Call&& incoming)
+      : call(std::move(incoming)), timer(scheduler.MakeTimer()) {}
 
   std::uint64_t number = 0;
   CallKey key;
@@ -35,11 +34,11 @@
   TargetCalls::ReplyHandler done;
   Instant deadline{};
   Instant sent{};  ///< Handed to the client of the target.
-  boost::asio::steady_timer timer;
+  std::unique_ptr<Timer> timer;
   std::size_t target = SIZE_MAX;
   bool started = false;  ///< Left the queue.
   std::string token;
-  TargetClient::Handle http = 0;
+  TargetConnections::Handle http = 0;
   std::vector<ServiceLevel> levels;
   bool exhausted = false;
 };
@@ -84,18 +83,16 @@
 }  // namespace
 
 struct TargetCalls::Impl : std::enable_shared_from_this<Impl> {
-  Impl(boost::asio::io_context& context, DataState& data_state,
-       TargetClient& target_client)
-      : io(context),
-        state(data_state),
+  Impl(DataState& data_state, TargetConnections& target_client)
+      : state(data_state),
         client(target_client),
-        queue_timer(context) {}
+        queue_timer(state.scheduler.MakeTimer()) {}
 
   // ----- Arrival
 
   bool Accept(Incarnation origin, Call&& call, const Options& options,
               ReplyHandler done) {
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     const CallKey key{origin, call.number};
     const Instant deadline = now + call.remaining;
     switch (state.fence.OnCall(key, deadline, now)) {
@@ -110,7 +107,7 @@
       case DispatchFence::Received::kNew:
         break;
     }
-    auto running = std::make_shared<Running>(io, std::move(call));
+    auto running = std::make_shared<Running>(state.scheduler, std::move(call));
     running->number = ++last_number;
     running->key = key;
     running->options = options;
@@ -204,25 +201,23 @@
   }
 
   void EndAdmission(std::size_t target, std::uint64_t number, Sample sample) {
-    Apply(target, targets[target].admission->Finish(number, sample,
-                                                    steady_clock::now()));
+    Apply(target,
+          targets[target].admission->Finish(number, sample, state.Now()));
   }
 
   void StartQueueTimer() {
     if (queue_timer_runs || !HasQueue()) return;
     queue_timer_runs = true;
-    queue_timer.expires_after(kQueueTick);
-    queue_timer.async_wait(
-        [weak = weak_from_this()](boost::system::error_code error) {
-          auto self = weak.lock();
-          if (error || !self) return;
-          self->queue_timer_runs = false;
-          const Instant now = steady_clock::now();
-          for (std::size_t i = 0; i < self->targets.size(); ++i) {
-            self->Apply(i, self->targets[i].admission->Tick(now));
-          }
-          self->StartQueueTimer();
-        });
+    queue_timer->Start(state.Now() + kQueueTick, [this] { OnQueueTimer(); });
+  }
+
+  void OnQueueTimer() {
+    queue_timer_runs = false;
+    const Instant now = state.Now();
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      Apply(i, targets[i].admission->Tick(now));
+    }
+    StartQueueTimer();
   }
 
   bool HasQueue() const {
@@ -249,40 +244,40 @@
       return;
     }
     by_token[running->token] = running;
-    running->sent = steady_clock::now();
-    const HttpRequest request = ToTargetRequest(
-        *running, state.configuration.get(), steady_clock::now());
+    running->sent = state.Now();
+    const HttpRequest request =
+        ToTargetRequest(*running, state.configuration.get(), state.Now());
     running->http = client.Start(
         targets[running->target].settings.address, request,
         [this, key = running->key] {
-          return state.fence.BeginWrite(key, steady_clock::now());
+          return state.fence.BeginWrite(key, state.Now());
         },
-        [weak = weak_from_this(), running](TargetClient::Result&& result) {
+        [weak = weak_from_this(), running](TargetConnections::Result&& result) {
           if (auto self = weak.lock()) {
             self->OnResult(running, std::move(result));
           }
         });
   }
 
-  void OnResult(const RunningPtr& running, TargetClient::Result&& result) {
+  void OnResult(const RunningPtr& running, TargetConnections::Result&& result) {
     running->http = 0;
     switch (result.failure) {
-      case TargetClient::Failure::kNone:
+      case TargetConnections::Failure::kNone:
         OnAnswer(running, std::move(result.response));
         return;
-      case TargetClient::Failure::kNotAllowed:
+      case TargetConnections::Failure::kNotAllowed:
         Refuse(running, Reason::kDeadlineExceeded, "deadline before the write",
                {});
         return;
-      case TargetClient::Failure::kPoolFull:
+      case TargetConnections::Failure::kPoolFull:
         Refuse(running, Reason::kOverloaded, result.detail, {});
         return;
-      case TargetClient::Failure::kUnsent:
+      case TargetConnections::Failure::kUnsent:
         state.fence.WriteFailedUnsent(running->key);
         Refuse(running, Reason::kNoTarget, result.detail, {}, Sample::kFailed);
         return;
-      case TargetClient::Failure::kSent:
-        state.fence.OnAnswered(running->key, steady_clock::now());
+      case TargetConnections::Failure::kSent:
+        state.fence.OnAnswered(running->key, state.Now());
         Finish(running,
                Unknown(running->call, Reason::kTargetFailed, result.detail),
                Sample::kFailed);
@@ -291,7 +286,7 @@
   }
 
   void OnAnswer(const RunningPtr& running, HttpResponse response) {
-    const Instant now = steady_clock::now();
+    const Instant now = state.Now();
     state.fence.OnAnswered(running->key, now);
     state.target_latency.Add(now - running->sent);
     Reply reply;
@@ -307,7 +302,7 @@
   void Refuse(const RunningPtr& running, Reason reason,
               const std::string& detail, Duration retry_after,
               Sample sample = Sample::kRefused) {
-    state.fence.OnCancel(running->key, steady_clock::now());
+    state.fence.OnCancel(running->key, state.Now());
     Reply reply = NotRun(running->call, reason, detail);
     reply.refusal.retry_after = retry_after;
     Finish(running, std::move(reply), sample);
@@ -333,12 +328,12 @@
     const Target& target = targets[running->target];
     if (target.service != running->call.service) return;
     const std::uint32_t level = target.admission->level(
-        running->call.context.organisation, steady_clock::now());
+        running->call.context.organisation, state.Now());
     reply.levels.push_back({target.service, level});
   }
 
   void Remove(const RunningPtr& running, Sample sample) {
-    running->timer.cancel();
+    running->timer->Stop();
     by_number.erase(running->number);
     by_key.erase(running->key);
     if (!running->token.empty()) {
@@ -354,13 +349,12 @@
   // ----- Deadline and cancellation
 
   void StartDeadline(const RunningPtr& running) {
-    running->timer.expires_at(running->deadline);
-    running->timer.async_wait(
-        [weak = weak_from_this(), running](boost::system::error_code error) {
-          auto self = weak.lock();
-          if (error || !self || !running->done) return;
-          self->OnDeadline(running);
-        });
+    // The timer belongs to `running`, so it must not keep it.
+    running->timer->Start(running->deadline,
+                          [this, weak = std::weak_ptr<Running>(running)] {
+                            const RunningPtr late = weak.lock();
+                            if (late && late->done) OnDeadline(late);
+                          });
   }
 
   void OnDeadline(const RunningPtr& running) {
@@ -376,7 +370,7 @@
   /// Takes the call out of the queue or closes its connection. True if it never
   /// ran.
   bool Stop(const RunningPtr& running) {
-    const auto result = state.fence.OnCancel(running->key, steady_clock::now());
+    const auto result = state.fence.OnCancel(running->key, state.Now());
     if (!running->started && running->target < targets.size()) {
       targets[running->target].admission->Cancel(running->number);
     }
@@ -385,14 +379,14 @@
       running->http = 0;
     }
     if (result == DispatchFence::CancelResult::kNeverRun) return true;
-    state.fence.OnAnswered(running->key, steady_clock::now());
+    state.fence.OnAnswered(running->key, state.Now());
     return false;
   }
 
   bool Cancel(const CallKey& key) {
     const auto it = by_key.find(key);
     if (it == by_key.end()) {
-      return state.fence.OnCancel(key, steady_clock::now()) ==
+      return state.fence.OnCancel(key, state.Now()) ==
              DispatchFence::CancelResult::kNeverRun;
     }
     const RunningPtr running = it->second;
@@ -403,11 +397,10 @@
     return never_run;
   }
 
-  boost::asio::io_context& io;
   DataState& state;
-  TargetClient& client;
+  TargetConnections& client;
   std::vector<Target> targets;
-  boost::asio::steady_timer queue_timer;
+  std::unique_ptr<Timer> queue_timer;
   bool queue_timer_runs = false;
   std::uint64_t last_number = 0;
   std::function<void(const std::string&)> token_ended;
@@ -416,10 +409,9 @@
   std::unordered_map<std::string, RunningPtr> by_token;
 };
 
-TargetCalls::TargetCalls(boost::asio::io_context& io, DataState& state,
-                         TargetClient& client,
+TargetCalls::TargetCalls(DataState& state, TargetConnections& client,
                          const std::vector<LocalTarget>& targets)
-    : impl_(std::make_shared<Impl>(io, state, client)) {
+    : impl_(std::make_shared<Impl>(state, client)) {
   for (const LocalTarget& settings : targets) {
     Target target;
     target.settings = settings;
@@ -479,7 +471,7 @@
 
 std::vector<TargetStatus> TargetCalls::Status() const {
   std::vector<TargetStatus> list;
-  const Instant now = steady_clock::now();
+  const Instant now = impl_->state.Now();
   for (const Target& target : impl_->targets) {
     TargetStatus status;
     status.name = target.settings.name;
--- a/src/target_calls.h
+++ b/src/target_calls.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,7 +10,7 @@
 #include "daemon_init.h"
 #include "data_state.h"
 #include "lentilcross/peer_message.h"
-#include "target_client.h"
+#include "target_connections.h"
 
 namespace lentilcross {
 
@@ -27,8 +26,8 @@
     std::optional<KeyRing::Lookup> key;
   };
 
-  TargetCalls(boost::asio::io_context& io, DataState& state,
-              TargetClient& client, const std::vector<LocalTarget>& targets);
+  TargetCalls(DataState& state, TargetConnections& client,
+              const std::vector<LocalTarget>& targets);
   ~TargetCalls();
 
   /// Takes a call. `done` is called once, possibly before this returns, unless
--- a/src/ticket_calls.cpp
+++ b/src/ticket_calls.cpp
@@ -9,8 +9,6 @@
 namespace lentilcross {
 namespace {
 
-using std::chrono::steady_clock;
-
 Outcome OutcomeOf(Reason reason) {
   const bool not_run =
       reason == Reason::kTicketInvalid || reason == Reason::kOverloaded;
@@ -67,9 +65,9 @@
   tickets.Finish(serial, std::move(answer));
 }
 
-PeerCalls::Stop TicketCalls::OnCall(const PeerLinks::Peer&, Call&& call,
+PeerCalls::Stop TicketCalls::OnCall(const LinkPeer&, Call&& call,
                                     PeerCalls::ReplyHandler done) {
-  const Instant now = steady_clock::now();
+  const Instant now = state_.Now();
   const std::string ticket(FindHeader(call.headers, header::kIdempotencyKey));
   const TicketBook::Use use =
       state_.tickets.Claim(ticket, call.context.organisation, call.route, now);
--- a/src/ticket_calls.h
+++ b/src/ticket_calls.h
@@ -22,7 +22,7 @@
   TicketCalls(DataState& state, OutgoingCalls& outgoing)
       : state_(state), outgoing_(outgoing) {}
 
-  PeerCalls::Stop OnCall(const PeerLinks::Peer& peer, Call&& call,
+  PeerCalls::Stop OnCall(const LinkPeer& peer, Call&& call,
                          PeerCalls::ReplyHandler done);
 
  private:
