Add a fault matrix over the request path

Every fault at every step of a request and of a loan, in virtual time on the pipeline of the daemon.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -19,10 +19,17 @@
 endfunction()
 
 file(GLOB core_tests CONFIGURE_DEPENDS tests/*_test.cpp)
+list(FILTER core_tests EXCLUDE REGEX "fault_matrix_test")
 foreach(source ${core_tests})
   lentilcross_add_test(${source})
 endforeach()
 
+# The request path of the daemon on fakes, in virtual time.
+lentilcross_add_test(tests/fault_matrix_test.cpp lentilcross_pipeline)
+target_sources(fault_matrix_test PRIVATE tests/matrix/node.cpp
+                                         tests/matrix/violations.cpp
+                                         tests/matrix/world.cpp)
+
 if(TARGET lentilcross_daemon)
   # Fakes and running daemons that these tests share.
   add_library(lentilcross_daemon_testing STATIC tests/daemon/fakes.cpp
--- /dev/null
+++ b/tests/matrix/violations.cpp
@@ -0,0 +1,109 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "world.h"
+
+namespace lentilcross::matrix {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kFloodRate = 5;
+constexpr double kFloodBurst = 4;
+/// All hosts have applied a published change by then.
+constexpr Duration kPublished = milliseconds(100);
+constexpr Duration kLeavingKnown = std::chrono::seconds(1);
+
+bool IsFront(const Execution& execution) {
+  return execution.path == "/stock" || execution.path == "/deposits";
+}
+
+bool SaysNotRun(const Attempt& attempt) {
+  if (attempt.response.header("Content-Type") != "application/problem+json") {
+    return false;
+  }
+  const auto body =
+      nlohmann::json::parse(attempt.response.body, nullptr, false);
+  return body.is_object() && body.value("outcome", "") == "not-run";
+}
+
+}  // namespace
+
+std::vector<std::string> World::Violations() const {
+  std::vector<std::string> list;
+  std::map<std::string, int> deposits;
+  std::map<std::string, int> ledgers;
+  std::map<std::string, int> fronts;
+  std::set<std::string> flood;
+  Instant flood_end = flood_began_;
+  for (const Execution& execution : executions_) {
+    if (execution.path == "/deposits") ++deposits[execution.ticket];
+    if (execution.path == "/ledger") ++ledgers[execution.ticket];
+    const bool front = IsFront(execution);
+    if (front) ++fronts[execution.attempt];
+    const bool of_flood = execution.attempt.rfind("flood", 0) == 0;
+    if (front && of_flood) {
+      flood.insert(execution.attempt);
+      flood_end = std::max(flood_end, execution.at);
+    }
+    const std::string owner = of_flood ? "flood" : "coopers";
+    if (execution.saw_key) list.push_back("P3: a target saw a key");
+    if (execution.organisation != owner) {
+      list.push_back("P3: ran for " + execution.organisation);
+    }
+    if (!leaving_.empty() && execution.host == leaving_ &&
+        execution.at > left_at_ + kLeavingKnown) {
+      list.push_back("P8: new work at a leaving host");
+    }
+  }
+  for (const auto& [ticket, count] : deposits) {
+    if (count > 1) list.push_back("P7: a deposit ran twice");
+  }
+  for (const auto& [ticket, count] : ledgers) {
+    if (count > 1) list.push_back("P7: an onward deposit ran twice");
+  }
+  const std::chrono::duration<double> window = flood_end - flood_began_;
+  if (static_cast<double>(flood.size()) >
+      kFloodRate * window.count() + kFloodBurst) {
+    list.push_back("P4: " + std::to_string(flood.size()) +
+                   " admitted, above rate and burst");
+  }
+  for (const auto& attempt : attempts_) {
+    const auto it = fronts.find(attempt->id);
+    const int runs = it == fronts.end() ? 0 : it->second;
+    if (runs > 3) list.push_back("P1: more than two extra attempts");
+    if (attempt->abandoned || attempt->entry_died) continue;
+    if (!attempt->answered) {
+      list.push_back("P5: no answer to " + attempt->id);
+      continue;
+    }
+    if (attempt->response.status == 200 &&
+        attempt->response.body != attempt->expected_body) {
+      list.push_back("P5: wrong answer " + attempt->response.body);
+    }
+    if (SaysNotRun(*attempt) && runs > 0) {
+      list.push_back("P6: \"not run\" is false for " + attempt->id);
+    }
+    if (withdrawn_at_ != Instant::max() && runs > 0 &&
+        attempt->sent > withdrawn_at_ + kPublished) {
+      list.push_back("P3: ran with a withdrawn key");
+    }
+    const bool at_leaving =
+        !leaving_.empty() && attempt->id.rfind(leaving_ + "#", 0) == 0;
+    const bool must_succeed =
+        fault_ == Fault::kNone ||
+        (fault_ == Fault::kTargetHostLeaves && !at_leaving);
+    if (must_succeed && attempt->response.status != 200) {
+      list.push_back("P9: cut request " + attempt->id + " " +
+                     attempt->response.body);
+    }
+  }
+  for (const auto& [name, node] : nodes_) {
+    if (node->state_->configuration->version != configuration_->version) {
+      list.push_back("P10: " + name + " has an old version");
+    }
+  }
+  return list;
+}
+
+}  // namespace lentilcross::matrix
