Read held quotas without a copy while nothing ends

The rate book test took 10 s, and more than its limit of 120 s under AddressSanitizer; the invariant check after every step copied every account.

--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -131,6 +131,12 @@
   return expired;
 }
 
+double RateAccount::TokensAt(Instant now) const {
+  const std::chrono::duration<double> elapsed = now - time_;
+  const double all = tokens_ + held_.rate * elapsed.count();
+  return std::max(0.0, std::min(all, held_.burst));
+}
+
 bool RateAccount::TakeToken() {
   if (tokens_ < 1 - kRounding) return false;
   tokens_ -= 1;
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -89,6 +89,13 @@
   /// own share is void from `own_until`. Returns the number of expired loans.
   int Advance(Instant now, Instant own_until);
 
+  /// True if nothing ends up to `now`, so that only tokens change.
+  bool IsSettled(Instant now, Instant own_until) const {
+    return own_until == own_until_ && now < next_event_ && now >= time_;
+  }
+  /// Tokens at a time up to which the account is settled.
+  double TokensAt(Instant now) const;
+
   Quota own() const { return own_; }
   Quota held() const { return held_; }
   Quota borrowed_total() const { return borrowed_total_; }
--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -244,6 +244,7 @@
 Quota RateBook::held(OrganisationId organisation, Instant now) const {
   const RateOrg* org = impl_->Find(organisation);
   if (org == nullptr) return {};
+  if (org->account.IsSettled(now, impl_->own_until)) return org->account.held();
   RateAccount account = org->account;
   account.Advance(now, impl_->own_until);
   return account.held();
@@ -252,6 +253,9 @@
 double RateBook::tokens(OrganisationId organisation, Instant now) const {
   const RateOrg* org = impl_->Find(organisation);
   if (org == nullptr) return 0;
+  if (org->account.IsSettled(now, impl_->own_until)) {
+    return org->account.TokensAt(now);
+  }
   RateAccount account = org->account;
   account.Advance(now, impl_->own_until);
   return account.tokens();
