--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -113,7 +113,9 @@
     if (const double rate = org.account.held().rate; rate > 0) {
       retry = std::min(retry, Seconds((1 - org.account.tokens()) / rate));
     }
-    return {Verdict::kWait, now + std::max(retry, kShortestRetry), {}};
+    return {Verdict::kWait,
+            now + std::min(std::max(retry, kShortestRetry), left),
+            {}};
   }
   if (waited > Duration::zero()) org.waiting = std::max(0, org.waiting - 1);
   ++stats.refused;
--- a/tests/rate_book_test.cpp
+++ b/tests/rate_book_test.cpp
@@ -150,7 +150,7 @@
     const auto& count = fleet.count(0);
     BOOST_TEST(count.excess == 0U);
     BOOST_TEST(count.refused_within * 1000 <= count.within);
-    BOOST_TEST((count.longest_wait <= milliseconds(31)));
+    BOOST_TEST((count.longest_wait <= milliseconds(30)));
     BOOST_TEST(fleet.MostBytes() <= 20U * 3000U);
   }
 }
