--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -113,7 +113,9 @@
     if (const double rate = org.account.held().rate; rate > 0) {
       retry = std::min(retry, Seconds((1 - org.account.tokens()) / rate));
     }
-    return {Verdict::kWait, now + std::max(retry, kShortestRetry), {}};
+    return {Verdict::kWait,
+            now + std::min(std::max(retry, kShortestRetry), left),
+            {}};
   }
   if (waited > Duration::zero()) org.waiting = std::max(0, org.waiting - 1);
   ++stats.refused;
@@ -244,6 +246,7 @@
 Quota RateBook::held(OrganisationId organisation, Instant now) const {
   const RateOrg* org = impl_->Find(organisation);
   if (org == nullptr) return {};
+  if (org->account.IsSettled(now, impl_->own_until)) return org->account.held();
   RateAccount account = org->account;
   account.Advance(now, impl_->own_until);
   return account.held();
@@ -252,6 +255,9 @@
 double RateBook::tokens(OrganisationId organisation, Instant now) const {
   const RateOrg* org = impl_->Find(organisation);
   if (org == nullptr) return 0;
+  if (org->account.IsSettled(now, impl_->own_until)) {
+    return org->account.TokensAt(now);
+  }
   RateAccount account = org->account;
   account.Advance(now, impl_->own_until);
   return account.tokens();
