--- a/src/tickets.cpp
+++ b/src/tickets.cpp
@@ -146,7 +146,8 @@
 
 void TicketBook::Keep(std::uint64_t serial, Used& used, Answer answer) {
   const std::size_t size = answer.body.size() + answer.content_type.size();
-  if (size > LENTILCROSS_CONFIG_MAX_KEPT_ANSWER || init_.max_kept_answers == 0) {
+  if (size > LENTILCROSS_CONFIG_MAX_KEPT_ANSWER ||
+      init_.max_kept_answers == 0) {
     return;
   }
   // An expired ticket leaves its serial here until its turn comes.
--- a/tools/rate_compare/rate_fleet.cpp
+++ b/tools/rate_compare/rate_fleet.cpp
@@ -304,8 +304,7 @@
 
 void RateFleet::Partition(std::vector<bool> side) { side_ = std::move(side); }
 
-void RateFleet::Publish(
-    const std::function<void(Configuration&)>& change) {
+void RateFleet::Publish(const std::function<void(Configuration&)>& change) {
   auto next = std::make_shared<Configuration>(*configuration_);
   next->version = Version(next->version.value() + 1);
   change(*next);
