--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -100,9 +100,9 @@
     }
   }
 
-  void SendAll(std::vector<Spread::Outgoing> messages) {
-    for (auto& [to, message] : messages) {
-      Send(PeerEnvelope{to, std::move(message)});
+  void SendAll(const std::vector<Spread::Outgoing>& messages) {
+    for (const auto& [to, message] : messages) {
+      Send(PeerEnvelope{to, message});
     }
   }
 
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -53,7 +53,7 @@
   Ring<ToControl> to_control;
 };
 
-Result<std::unique_ptr<Daemon>> Daemon::Create(DaemonInit init) {
+Result<std::unique_ptr<Daemon>> Daemon::Create(const DaemonInit& init) {
   Findings findings = Check(init);
   if (!findings.empty()) return boost::leaf::new_error(std::move(findings));
   const Incarnation incarnation = RandomIncarnation();
--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -29,6 +29,8 @@
   using concurrency_type = websocketpp::concurrency::none;
   using elog_type = websocketpp::log::stub;
   using alog_type = websocketpp::log::stub;
+  // websocketpp looks up this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   struct transport_config : public websocketpp::config::core::transport_config {
     using concurrency_type = PeerConfig::concurrency_type;
     using elog_type = PeerConfig::elog_type;
@@ -154,10 +156,11 @@
   void OnFrame(const connection_hdl& handle, const Server::message_ptr& frame) {
     const SocketId id = IdOf(handle);
     if (id == 0) return;
-    const bool binary =
-        frame->get_opcode() == websocketpp::frame::opcode::binary;
-    hooks.on_frame(id, binary ? std::string_view(frame->get_payload())
-                              : std::string_view());
+    if (frame->get_opcode() == websocketpp::frame::opcode::binary) {
+      hooks.on_frame(id, frame->get_payload());
+    } else {
+      hooks.on_frame(id, {});  // refused as malformed
+    }
   }
 
   void OnEnd(const ConnectionPtr& connection) {
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -166,6 +166,7 @@
     if (!CheckKey(entry)) return;
     const Instant now = steady_clock::now();
     std::vector<std::string> tickets;
+    tickets.reserve(static_cast<std::size_t>(*count));
     for (int i = 0; i < *count; ++i) {
       tickets.push_back(state.tickets.Issue(entry->key->organisation, now));
     }
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -20,9 +20,9 @@
   return text.str();
 }
 
-std::unique_ptr<Daemon> MakeDaemon(DaemonInit init) {
-  auto captured = Capture<std::unique_ptr<Daemon>>(
-      [&] { return Daemon::Create(std::move(init)); });
+std::unique_ptr<Daemon> MakeDaemon(const DaemonInit& init) {
+  auto captured =
+      Capture<std::unique_ptr<Daemon>>([&] { return Daemon::Create(init); });
   if (!captured.value) {
     throw std::runtime_error(captured.findings.Format("daemon") +
                              captured.decode_error);
@@ -45,7 +45,7 @@
     events_.push_back(event);
     changed_.notify_all();
   };
-  daemon_ = MakeDaemon(std::move(init));
+  daemon_ = MakeDaemon(init);
 }
 
 RunningDaemon::~RunningDaemon() {
