--- a/tests/daemon/keys_at_entry_test.cpp
+++ b/tests/daemon/keys_at_entry_test.cpp
@@ -97,8 +97,9 @@
     web::HttpRequest request;
     request.target = "/look";
     request.headers.emplace_back("X-Api-Key", key);
-    client->Send(request, std::chrono::seconds(10),
-                 [&](web::HttpResult result) { response = result.response; });
+    client->Send(
+        request, std::chrono::seconds(10),
+        [&](const web::HttpResult& result) { response = result.response; });
     io.restart();
     // Ends when the response is there: the client keeps no timer after it.
     while (response.body.empty() && io.run_one() != 0) {
--- a/tests/daemon/shutdown_test.cpp
+++ b/tests/daemon/shutdown_test.cpp
@@ -23,6 +23,7 @@
 
   std::atomic<int> good{0};
   std::vector<std::thread> callers;
+  callers.reserve(8);
   for (int i = 0; i < 8; ++i) {
     callers.emplace_back([&] {
       if (fleet.Call("entry", "/look").response.status == 200) ++good;
