--- a/src/onward_pipeline.cpp
+++ b/src/onward_pipeline.cpp
@@ -116,6 +116,7 @@
     }
     const Instant now = state.Now();
     std::vector<std::string> tickets;
+    tickets.reserve(static_cast<std::size_t>(*count));
     for (int i = 0; i < *count; ++i) {
       tickets.push_back(state.tickets.Issue(organisation, now));
     }
