Build the peer message test under the sanitizers

Cause: GCC 12 reports a mismatch for the test's own operator new and delete when it inlines them, so the sanitizer build failed. Change: the two functions are not inlined.

--- a/tests/peer_message_test.cpp
+++ b/tests/peer_message_test.cpp
@@ -24,14 +24,16 @@
 
 }  // namespace
 
-void* operator new(std::size_t size) {
+// Not inlined: GCC 12 takes an inlined pair of these for a mismatch of new and
+// free.
+[[gnu::noinline]] void* operator new(std::size_t size) {
   void* memory = std::malloc(size);
   if (memory == nullptr) throw std::bad_alloc();
   g_live += malloc_usable_size(memory);
   g_peak = std::max(g_peak, g_live);
   return memory;
 }
-void operator delete(void* memory) noexcept {
+[[gnu::noinline]] void operator delete(void* memory) noexcept {
   g_live -= malloc_usable_size(memory);
   std::free(memory);
 }
