--- a/include/lentilcross/admission.h
+++ b/include/lentilcross/admission.h
@@ -55,7 +55,6 @@
     kDraining,
     kMeasuring
   };
-  bool IsProbing() const;
   bool WindowIsComplete(Instant now) const;
   void CloseWindow(Instant now);
   void Adjust(double latency, double throughput, double bound_share);
--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -31,9 +31,8 @@
 constexpr double kFallenThroughput = 0.7;
 // Throughput that a probe keeps if the estimate is too high.
 constexpr double kKeptThroughput = 0.95;
-// Mean latency over base latency that shows a queue inside the target, and ends
-// slow start.
-constexpr double kQueueingLatencyRatio = 1.8;
+// Mean latency over base latency that ends slow start.
+constexpr double kSlowStartLatencyRatio = 1.8;
 // Mean latency over base latency outside which the base may be out of date.
 constexpr double kHighLatencyRatio = 2.2;
 constexpr double kLowLatencyRatio = 0.8;
@@ -50,14 +49,12 @@
     : init_(init), limit_(std::clamp(init.initial, init.min, init.max)) {}
 
 int ConcurrencyLimit::limit() const {
-  const double limit = IsProbing() ? kProbeShare * estimate() : limit_;
+  const bool probing =
+      phase_ == Phase::kDraining || phase_ == Phase::kMeasuring;
+  const double limit = probing ? kProbeShare * estimate() : limit_;
   return static_cast<int>(std::lround(std::clamp(limit, init_.min, init_.max)));
 }
 
-bool ConcurrencyLimit::IsProbing() const {
-  return phase_ == Phase::kDraining || phase_ == Phase::kMeasuring;
-}
-
 double ConcurrencyLimit::estimate() const {
   return (limit_ - kMarginCalls) / kMargin;
 }
@@ -90,8 +87,7 @@
 bool ConcurrencyLimit::WindowIsComplete(Instant now) const {
   const Seconds elapsed = now - window_.start;
   const bool starting = phase_ == Phase::kStarting;
-  const int fewest =
-      starting && window_.bound > 0 ? kFewestStartSamples : kFewestSamples;
+  const int fewest = starting ? kFewestStartSamples : kFewestSamples;
   const Seconds shortest = starting ? kShortestStartWindow : kShortestWindow;
   const bool enough =
       window_.ok >= fewest && elapsed >= std::max(shortest, Seconds(latency_));
@@ -118,14 +114,11 @@
 
 void ConcurrencyLimit::Adjust(double latency, double throughput,
                               double bound_share) {
-  // A queue inside the target shows a limit that is too high even where it is
-  // not reached, because callers spread their work.
-  const bool queues = latency > kHighLatencyRatio * base_;
-  if (bound_share == 0 && !queues && !IsProbing()) return;
   switch (phase_) {
     case Phase::kStarting:
+      if (bound_share == 0) return;
       throughput_ = throughput;
-      if (latency < kQueueingLatencyRatio * base_) {
+      if (latency < kSlowStartLatencyRatio * base_) {
         limit_ = std::min(init_.max, limit_ * 2);
         return;
       }
@@ -133,6 +126,7 @@
       until_probe_ = kWindowsBetweenProbes;
       break;
     case Phase::kRunning:
+      if (bound_share == 0) return;
       if (latency > kHighLatencyRatio * base_) {
         until_probe_ = std::min(until_probe_, kWindowsBeforeEarlyProbe);
       }
@@ -154,7 +148,7 @@
       FinishProbe(latency, throughput);
       break;
   }
-  MoveLimit(queues ? 1 : bound_share);
+  MoveLimit(bound_share);
 }
 
 void ConcurrencyLimit::FinishProbe(double latency, double throughput) {
