--- a/tools/bench/plot.gp
+++ b/tools/bench/plot.gp
@@ -1,31 +1,33 @@
-# Draws the tables of scripts/bench.sh --plots; `data` and `out` are directories.
+# Draws the tables of scripts/plot.sh to docs/plots. `tables` is a directory.
 set terminal svg size 720,420 font "sans,12"
 set key below
 set grid
-set yrange [0:1.15]
-policies = "lentilcross none fixed-limit queue-timeout"
+set yrange [0:1.2]
+all = "lentilcross none fixed-limit queue-timeout"
+
+# Policies that have a table.
+found(prefix) = system(sprintf("cd '%s' && for p in %s; do [ -e '%s-'$p ] && echo $p; done; true", \
+                               tables, all, prefix))
 
-set ylabel "goodput, fraction of clairvoyant"
-set xlabel "demand, times capacity"
 do for [deployment in "cedarhoop brierley"] {
   do for [depth in "4 21"] {
-    set output sprintf("%s/demand-%s-%s.svg", out, deployment, depth)
-    set title sprintf("Goodput against demand, %s, depth %s", deployment, depth)
-    plot for [p in policies] sprintf("%s/demand-%s-%s-%s", data, deployment, depth, p) \
-      using 1:2 with linespoints title p
-  }
-}
-
-set ylabel "goodput, fraction of capacity"
-set xlabel "time, s"
-do for [scenario in "slow-deep-service surge-endless-repeats cold-restart"] {
-  do for [deployment in "cedarhoop brierley"] {
-    do for [depth in "4 21"] {
-      set output sprintf("%s/%s-%s-%s.svg", out, scenario, deployment, depth)
-      set title sprintf("Goodput over time, %s, %s, depth %s", scenario, deployment, depth)
-      plot for [p in policies] \
-        sprintf("%s/time-%s-%s-%s-%s", data, scenario, deployment, depth, p) \
-        using 1:2 with lines title p
+    do for [scenario in "demand slow-deep-service surge-endless-repeats cold-restart"] {
+      prefix = sprintf("%s-%s-%s", scenario, deployment, depth)
+      policies = found(prefix)
+      if (strlen(policies) > 0) {
+        set output sprintf("docs/plots/%s.svg", prefix)
+        if (scenario eq "demand") {
+          set title sprintf("Goodput against demand, %s, depth %s", deployment, depth)
+          set ylabel "goodput, fraction of clairvoyant"
+          set xlabel "demand, times capacity"
+        } else {
+          set title sprintf("Goodput over time, %s, %s, depth %s", scenario, deployment, depth)
+          set ylabel "goodput, fraction of capacity"
+          set xlabel "time, s"
+        }
+        plot for [p in policies] sprintf("%s/%s-%s", tables, prefix, p) \
+          using 1:2 with lines linewidth 1.5 title p
+      }
     }
   }
 }
