Bound the services that an entry gate knows behind a route

Cause: replies of a faulty peer could name services without end. Change: at most four times the greatest depth.

--- a/src/level_estimator.cpp
+++ b/src/level_estimator.cpp
@@ -31,8 +31,8 @@
 constexpr double kSamples = 300;
 constexpr double kShortestMemory = 0.15;
 constexpr double kLongestMemory = 2;
-// Shorter lets an estimate that is hidden by a lasting overload fall, and with it
-// the level, until a burst renews it.
+// Shorter lets an estimate that is hidden by a lasting overload fall, and with
+// it the level, until a burst renews it.
 constexpr double kHiddenMemory = 30;
 constexpr int kFillSteps = 30;
 
--- a/src/shedding.cpp
+++ b/src/shedding.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <random>
 
+#include "lentilcross/config.h"
+
 namespace lentilcross {
 namespace {
 
@@ -16,6 +18,9 @@
 // be in a lower importance than another. Within this time both count as in
 // force.
 constexpr Duration kSameTime = std::chrono::milliseconds(20);
+// Services behind one route; a request passes at most MAX_DEPTH of them, and
+// calls may branch.
+constexpr std::size_t kMaxServices = 4 * LENTILCROSS_CONFIG_MAX_DEPTH;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -93,6 +98,7 @@
         known.begin(), known.end(),
         [&](const Level& entry) { return entry.service == stated.service; });
     if (level == known.end()) {
+      if (known.size() >= kMaxServices) continue;
       known.push_back({stated.service, static_cast<double>(stated.level), now});
       continue;
     }
