--- a/src/shedding.cpp
+++ b/src/shedding.cpp
@@ -20,7 +20,8 @@
 constexpr Duration kSameTime = std::chrono::milliseconds(20);
 // Services behind one route; a request passes at most MAX_DEPTH of them, and
 // calls may branch.
-constexpr std::size_t kMaxServices = 4 * LENTILCROSS_CONFIG_MAX_DEPTH;
+constexpr std::size_t kMaxServices =
+    std::size_t{4} * LENTILCROSS_CONFIG_MAX_DEPTH;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
