--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -1,7 +1,11 @@
 #include "json_reader.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <charconv>
 #include <cmath>
 #include <unordered_set>
 #include <utility>
@@ -31,6 +35,23 @@
   return position;
 }
 
+/// Offset of the first byte of the last token, which ends before `end`. The
+/// lexer reports in `token` all bytes since the last string or number.
+std::size_t FindTokenStart(std::string_view text, std::size_t end,
+                           std::string_view token) {
+  end = std::min(end, text.size());
+  const bool is_string =
+      token.size() >= 2 && token.front() == '"' && token.back() == '"';
+  if (is_string && token.size() <= end) return end - token.size();
+  std::size_t start = end == 0 ? 0 : end - 1;
+  const auto is_word = [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '.' ||
+           c == '-' || c == '+';
+  };
+  while (start > 0 && is_word(text[start - 1])) --start;
+  return start;
+}
+
 /// The part of nlohmann's message that says what was expected. The end of the
 /// message quotes the input, which may be a key.
 std::string DescribeSyntaxError(const std::string& message) {
@@ -89,11 +110,10 @@
     return Base::end_array();
   }
   template <typename Exception>
-  bool parse_error(std::size_t offset, const std::string& /*token*/,
+  bool parse_error(std::size_t offset, const std::string& token,
                    const Exception& error) {
-    // The offset counts the characters read so far.
     const auto [line, column] =
-        FindPosition(text_, offset == 0 ? 0 : offset - 1);
+        FindPosition(text_, FindTokenStart(text_, offset, token));
     findings_.Add(std::to_string(line) + ":" + std::to_string(column),
                   DescribeSyntaxError(error.what()));
     return false;
@@ -202,6 +222,26 @@
   return joined;
 }
 
+bool IsEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  const std::string_view port = text.substr(colon + 1);
+  int number = 0;
+  const auto [end, error] =
+      std::from_chars(port.data(), port.data() + port.size(), number);
+  const bool port_good = error == std::errc() &&
+                         end == port.data() + port.size() && number >= 1 &&
+                         number <= 65535;
+  std::string ip(text.substr(0, colon));
+  int family = AF_INET;
+  if (ip.size() >= 2 && ip.front() == '[' && ip.back() == ']') {
+    ip = ip.substr(1, ip.size() - 2);
+    family = AF_INET6;
+  }
+  std::array<unsigned char, sizeof(in6_addr)> address{};
+  return port_good && inet_pton(family, ip.c_str(), address.data()) == 1;
+}
+
 ObjectReader::ObjectReader(const Json& value, std::string pointer,
                            Findings& findings)
     : pointer_(std::move(pointer)), findings_(findings) {
@@ -238,6 +278,16 @@
   ReadText(name, presence, out);
 }
 
+void ObjectReader::Endpoint(std::string_view name, Presence presence,
+                            std::string& out) {
+  std::string text;
+  if (!ReadText(name, presence, text)) return;
+  if (!IsEndpoint(text)) {
+    return Report(name, "out of range: expected \"ip:port\"");
+  }
+  out = text;
+}
+
 void ObjectReader::Flag(std::string_view name, Presence presence, bool& out) {
   const Json* value = Find(name, presence);
   if (value == nullptr) return;
--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -44,12 +44,20 @@
   }
 };
 
+template <>
+struct Schema<RequestId> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Integer(m.high);
+    v.Integer(m.low);
+  }
+};
+
 template <>
 struct Schema<RequestContext> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
-    v.Integer(m.id.high);
-    v.Integer(m.id.low);
+    v.Record(m.id);
     // Open routes belong to organisation 0.
     v.Identifier(m.organisation, IdRule::kMayBeInvalid);
     v.Enumerator(m.importance, kImportanceCount);
@@ -201,12 +209,25 @@
   }
 };
 
+template <>
+struct Schema<HeldLevel> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Record(m.quota);
+    v.Integer(m.grant);
+    v.Integer(m.part);
+  }
+};
+
 template <>
 struct Schema<LoanAsk> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
     v.Identifier(m.organisation, IdRule::kRequired);
     v.Record(m.want);
+    v.Quantity(m.need);
+    v.Quantity(m.returned);
+    v.List(m.held, kMaxListSize);
   }
 };
 
@@ -214,6 +235,7 @@
 struct Schema<LoanRequest> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
     v.List(m.asks, kMaxListSize);
   }
@@ -226,6 +248,8 @@
     v.Identifier(m.organisation, IdRule::kRequired);
     v.Record(m.quota);
     v.Quantity(m.tokens);
+    v.Time(m.term);
+    v.Integer(m.part);
   }
 };
 
@@ -233,8 +257,8 @@
 struct Schema<LoanGrant> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
-    v.Time(m.term);
     v.List(m.loans, kMaxListSize);
   }
 };
@@ -243,8 +267,9 @@
 struct Schema<LoanReturn> {
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
+    v.Identifier(m.borrower, IdRule::kRequired);
     v.Integer(m.number);
-    v.List(m.loans, kMaxListSize);
+    v.List(m.asks, kMaxListSize);
   }
 };
 
