Charge the timer of waiting requests by their front only

Cause: only the front of a queue of waiting requests is charged, so the times to retry of the others stay in the past. The timer took the earliest of all and fired again at once, until the front was done: a busy loop of the thread data for up to the longest wait. The fault matrix did not end in 100 s.

After: the timer takes the front's time to retry and all deadlines.

--- a/src/rate_waits.cpp
+++ b/src/rate_waits.cpp
@@ -125,8 +125,10 @@
   void StartTimer() {
     Instant next = Instant::max();
     for (const auto& [organisation, queue] : queues) {
+      // Only the front is charged, so the others' times to retry are stale.
+      if (!queue.empty()) next = std::min(next, queue.front().retry_at);
       for (const Waiting& waiting : queue) {
-        next = std::min({next, waiting.deadline, waiting.retry_at});
+        next = std::min(next, waiting.deadline);
       }
     }
     if (next == Instant::max()) return;
