Tell the admission of a target when its calls wait for onward calls

Cause: the wait for an onward call counted as latency of the target and held a slot of its limit, so a slow service behind it shrank its limit too. The core offers BeginOnward and EndOnward for that; the daemon did not call them.

--- a/src/onward_pipeline.cpp
+++ b/src/onward_pipeline.cpp
@@ -137,6 +137,7 @@
     }
     request.extra_attempts = onward->lent;
     by_token[onward->token].push_back(onward);
+    targets.BeginOnward(onward->token);
     const auto handle = outgoing.Start(
         std::move(request), [weak = weak_from_this(), onward](Reply&& reply) {
           if (auto self = weak.lock()) self->OnReply(onward, std::move(reply));
@@ -148,6 +149,7 @@
     if (auto* entry = state.tokens.Find(onward->token)) {
       entry->allowance.TakeBack(reply.extra_attempts_left, onward->lent);
     }
+    targets.EndOnward(onward->token);
     targets.NoteOnward(onward->token, reply.levels, reply.attempts_exhausted);
     Finish(onward, std::move(reply));
   }
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -433,6 +433,22 @@
   return impl_->Cancel({origin, number});
 }
 
+void TargetCalls::BeginOnward(std::string_view token) {
+  const auto it = impl_->by_token.find(std::string(token));
+  if (it == impl_->by_token.end()) return;
+  const RunningPtr running = it->second;
+  TargetAdmission& admission = *impl_->targets[running->target].admission;
+  impl_->Apply(running->target,
+               admission.BeginOnward(running->number, impl_->state.Now()));
+}
+
+void TargetCalls::EndOnward(std::string_view token) {
+  const auto it = impl_->by_token.find(std::string(token));
+  if (it == impl_->by_token.end()) return;
+  impl_->targets[it->second->target].admission->EndOnward(
+      it->second->number, impl_->state.Now());
+}
+
 void TargetCalls::NoteOnward(std::string_view token,
                              const std::vector<ServiceLevel>& levels,
                              bool exhausted) {
--- a/src/target_calls.h
+++ b/src/target_calls.h
@@ -38,6 +38,9 @@
   /// never will.
   bool Cancel(Incarnation origin, CallNumber number);
 
+  /// The running call of the token waits for an onward call, or goes on.
+  void BeginOnward(std::string_view token);
+  void EndOnward(std::string_view token);
   /// Adds what an onward call of a running call has learned.
   void NoteOnward(std::string_view token,
                   const std::vector<ServiceLevel>& levels, bool exhausted);
