--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -445,8 +445,8 @@
 void TargetCalls::EndOnward(std::string_view token) {
   const auto it = impl_->by_token.find(std::string(token));
   if (it == impl_->by_token.end()) return;
-  impl_->targets[it->second->target].admission->EndOnward(
-      it->second->number, impl_->state.Now());
+  impl_->targets[it->second->target].admission->EndOnward(it->second->number,
+                                                          impl_->state.Now());
 }
 
 void TargetCalls::NoteOnward(std::string_view token,
