--- a/tests/matrix/node.cpp
+++ b/tests/matrix/node.cpp
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-Node::Node(World& world, std::string name, std::string domain,
+Node::Node(World& world, std::string name, const std::string& domain,
            std::uint64_t incarnation)
     : world_(world),
       name_(std::move(name)),
@@ -65,7 +65,7 @@
       });
   onward_ = std::make_unique<OnwardPipeline>(
       *state_, *outgoing_, *targets_,
-      [this](std::uint64_t exchange, HttpResponse) {
+      [this](std::uint64_t exchange, const HttpResponse& /*response*/) {
         const auto it = onward_exchanges_.find(exchange);
         if (it == onward_exchanges_.end()) return;
         const Handle handle = it->second;
--- a/tests/matrix/world.h
+++ b/tests/matrix/world.h
@@ -54,7 +54,7 @@
 /// One daemon without sockets: the request path of the product on fakes.
 class Node : public CallLinks, public TargetConnections {
  public:
-  Node(World& world, std::string name, std::string domain,
+  Node(World& world, std::string name, const std::string& domain,
        std::uint64_t incarnation);
 
   void Apply(const std::shared_ptr<const Configuration>& configuration);
