--- a/cmake/standins.cmake
+++ b/cmake/standins.cmake
@@ -1,6 +1,7 @@
 # Stand-ins for outside systems, used by tests and scripts/demo.sh. They are
 # separate programs and not part of the product.
-add_library(lentilcross_standin STATIC tools/standins/standin.cpp)
+add_library(lentilcross_standin STATIC tools/standins/peer_hello.cpp
+                                       tools/standins/standin.cpp)
 target_include_directories(lentilcross_standin PUBLIC tools/standins)
 target_link_libraries(lentilcross_standin PUBLIC lentilcross_http
                                                  nlohmann_json::nlohmann_json)
--- a/src/command_load.cpp
+++ b/src/command_load.cpp
@@ -126,6 +126,18 @@
   return all;
 }
 
+// One line "ATTEMPTS NOT_RUN ID METHOD PATH KEY" per finished request.
+bool WriteRecords(const cxxopts::ParseResult& arguments,
+                  const LoadCounts& counts) {
+  if (arguments.count("records") == 0) return true;
+  std::ofstream file(arguments["records"].as<std::string>());
+  for (const LoadCounts::Record& record : counts.records) {
+    file << record.attempts << " " << record.not_run << " " << record.id << " "
+         << record.request << "\n";
+  }
+  return static_cast<bool>(file.flush());
+}
+
 void AddOptions(cxxopts::Options& options) {
   const auto number = [](const char* value) {
     return cxxopts::value<unsigned>()->default_value(value);
@@ -145,6 +157,8 @@
       "seed", "seed of arrivals and choices",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "echo", "responses must contain the request's id")(
+      "records", "file for one line per request, to compare with executions",
+      cxxopts::value<std::string>())(
       "expect", "JSON pointer into the report, <=, >=, =, < or >, and a number",
       cxxopts::value<Strings>());
 }
@@ -172,6 +186,9 @@
   }
   double elapsed_s = 0;
   LoadCounts counts = RunLoad(plan, &elapsed_s);
+  if (!WriteRecords(*arguments, counts)) {
+    return Unusable("--records: cannot be written");
+  }
   Json report = LoadReport(std::move(counts), elapsed_s);
   report["seed"] = plan.seed;
   const bool held = CheckExpectations(expectations, texts, &report);
--- a/src/load_report.h
+++ b/src/load_report.h
@@ -49,6 +49,15 @@
     ByName failures;
   };
 
+  /// A finished request, to be compared with what the targets ran.
+  struct Record {
+    std::string request;  ///< "METHOD PATH ID" as a target records it.
+    std::string id;       ///< The caller's request id, part of onward ids.
+    std::uint64_t attempts = 0;  ///< Sent, whether answered or not.
+    std::uint64_t not_run = 0;   ///< Answered with outcome "not-run".
+  };
+
+  std::vector<Record> records;
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
   std::uint64_t incomplete = 0;  ///< Successful without the request's id.
--- a/src/load_run.cpp
+++ b/src/load_run.cpp
@@ -1,7 +1,9 @@
 #include "load_run.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <random>
@@ -31,6 +33,8 @@
   std::string ticket;
   Instant started{};
   int retries_left = 0;
+  std::uint64_t sent = 0;       // Attempts of which a byte may have been sent.
+  std::uint64_t not_run = 0;    // Attempts answered as not run.
   std::size_t unreachable = 0;  // Attempts that found no connection.
 };
 using RequestPtr = std::shared_ptr<LoadRequest>;
@@ -70,12 +74,23 @@
       const auto timer = std::make_shared<boost::asio::steady_timer>(context_);
       ScheduleNext(organisation, timer, start);
     }
+    EndOnSignal();
     context_.run();
     *elapsed_s = std::chrono::duration<double>(Clock::now() - start).count();
     return std::move(counts_);
   }
 
  private:
+  // SIGTERM ends the arrivals early. Requests in progress get their answers.
+  void EndOnSignal() {
+    signals_.async_wait([this](auto code, int) {
+      if (!code) end_ = Clock::now();
+      end_timer_.cancel();
+    });
+    end_timer_.expires_at(end_);
+    end_timer_.async_wait([this](auto) { signals_.cancel(); });
+  }
+
   using Timer = std::shared_ptr<boost::asio::steady_timer>;
 
   static std::string RouteName(const LoadRoute& route) {
@@ -92,7 +107,7 @@
     if (next >= end_) return;
     timer->expires_at(next);
     timer->async_wait([this, &organisation, timer, next](auto code) {
-      if (code) return;
+      if (code || next >= end_) return;
       Begin(organisation);
       ScheduleNext(organisation, timer, next);
     });
@@ -128,6 +143,7 @@
   void Attempt(const RequestPtr& request, Caller& caller) {
     ++counts_.attempts;
     ++counts_.daemons[caller.address].attempts;
+    ++request->sent;
     const Instant sent = Clock::now();
     caller.client->Send(
         Message(*request), plan_.timeout,
@@ -160,6 +176,7 @@
     ++counts_.failures[name];
     ++counts_.daemons[caller.address].failures[name];
     if (failure == web::HttpFailure::kConnect) {
+      --request->sent;
       caller.avoid_until = Clock::now() + kAvoidUnreachable;
       // Nothing was sent, so that another daemon may be asked at once.
       if (++request->unreachable < callers_.size()) {
@@ -175,6 +192,7 @@
     if (response.status >= 200 && response.status < 300) {
       return Succeed(request, caller, sent, response);
     }
+    if (IsProvenNotRun(response)) ++request->not_run;
     std::string reason = ReasonOf(response);
     if (reason.empty()) reason = "status-" + std::to_string(response.status);
     ++counts_.reasons[reason];
@@ -187,8 +205,16 @@
     RetryOrEnd(request, reason, !IsProvenNotRun(response));
   }
 
+  void Record(const LoadRequest& request) {
+    const std::string& key =
+        request.ticket.empty() ? request.id : request.ticket;
+    counts_.records.push_back({RouteName(*request.route) + " " + key,
+                               request.id, request.sent, request.not_run});
+  }
+
   void Succeed(const RequestPtr& request, Caller& caller, Instant sent,
                const web::HttpResponse& response) {
+    Record(*request);
     const Instant now = Clock::now();
     if (plan_.expect_echo &&
         response.body.find(request->id) == std::string::npos) {
@@ -219,6 +245,7 @@
       });
       return;
     }
+    Record(*request);
     ++counts_.organisations[request->organisation->name].results[result];
     if (unknown) ++counts_.routes[RouteName(*request->route)].unknown;
   }
@@ -226,6 +253,8 @@
   const LoadPlan& plan_;
   std::mt19937_64 random_;
   boost::asio::io_context context_;
+  boost::asio::signal_set signals_{context_, SIGTERM};
+  boost::asio::steady_timer end_timer_{context_};
   std::vector<Caller> callers_;
   std::vector<double> weights_;
   Instant end_{};
--- a/src/load_run.h
+++ b/src/load_run.h
@@ -36,8 +36,9 @@
   bool expect_echo = false;  ///< Successful responses must hold the request id.
 };
 
-/// Sends the load, waits for the last response and returns the counts.
-/// `elapsed_s` is the time from the first request to the last response.
+/// Sends the load until its end or SIGTERM, waits for the last response and
+/// returns the counts. `elapsed_s` is the time from the first request to the
+/// last response.
 LoadCounts RunLoad(const LoadPlan& plan, double* elapsed_s);
 
 }  // namespace lentilcross
--- a/tools/standins/standin_relay.cpp
+++ b/tools/standins/standin_relay.cpp
@@ -1,16 +1,22 @@
 // TCP relay that can turn connections silent, cut them or delay them, per
-// direction. Control: POST /behaviour {"scope": "open"|"new"|"all",
+// direction. Control: POST /behaviour {"scope": "open"|"new"|"all", "from": ID,
 // "forward": {"mode": "pass"|"silent"|"cut", "delay_ms": N}, "backward":
 // {...}}. "forward" is from the side that connects to the side that listens.
+// "from" limits the change to peer links that the host with this identifier
+// dialled. A connection that lost bytes is closed when it should pass again,
+// because the stream cannot be continued.
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <iostream>
 #include <list>
+#include <map>
 
+#include "peer_hello.h"
 #include "standin.h"
 #include "tcp_endpoint.h"
 
@@ -54,11 +60,15 @@
   std::uint64_t swallowed_bytes = 0;
 };
 
+// Behaviour of new connections that the host dialled.
+using DirectionsOf = std::function<Directions(std::uint64_t)>;
+
 class Pair : public std::enable_shared_from_this<Pair> {
  public:
-  Pair(Tcp::socket in, Directions directions,
+  Pair(Tcp::socket in, Directions directions, DirectionsOf directions_of,
        std::shared_ptr<Counters> counters)
       : directions_(directions),
+        directions_of_(std::move(directions_of)),
         counters_(std::move(counters)),
         in_(std::move(in)),
         out_(in_.get_executor()),
@@ -82,15 +92,33 @@
     });
   }
 
+  std::uint64_t source() const { return hello_.host(); }
+
   void Change(const nlohmann::json& change) {
     directions_.Change(change);
+    const auto passes = [](const Behaviour& behaviour) {
+      return behaviour.mode == Mode::kPass;
+    };
+    if (lost_ && passes(directions_.forward) && passes(directions_.backward)) {
+      return Close();
+    }
+    CloseIfCut();
+  }
+
+ private:
+  void CloseIfCut() {
     if (directions_.forward.mode == Mode::kCut ||
         directions_.backward.mode == Mode::kCut) {
       Close();
     }
   }
 
- private:
+  void Identify(std::size_t size) {
+    if (!hello_.Add({forward_buffer_.data(), size})) return;
+    directions_ = directions_of_(hello_.host());
+    CloseIfCut();
+  }
+
   void Copy(bool forward) {
     auto& from = forward ? in_ : out_;
     auto& buffer = forward ? forward_buffer_ : backward_buffer_;
@@ -98,6 +126,7 @@
         asio::buffer(buffer),
         [self = shared_from_this(), forward](auto code, std::size_t size) {
           if (code) return self->Close();
+          if (forward) self->Identify(size);
           self->Delay(forward, size);
         });
   }
@@ -107,6 +136,7 @@
         forward ? directions_.forward : directions_.backward;
     if (behaviour.mode == Mode::kSilent) {
       counters_->swallowed_bytes += size;
+      lost_ = true;
       return Copy(forward);
     }
     if (behaviour.delay.count() == 0) return Write(forward, size);
@@ -138,6 +168,9 @@
   }
 
   Directions directions_;
+  DirectionsOf directions_of_;
+  PeerHello hello_;
+  bool lost_ = false;
   std::shared_ptr<Counters> counters_;
   Tcp::socket in_;
   Tcp::socket out_;
@@ -157,10 +190,13 @@
 
   void Change(const nlohmann::json& change) {
     const std::string scope = change.value("scope", "all");
-    if (scope != "open") for_new_.Change(change);
+    const std::uint64_t from = change.value("from", std::uint64_t{0});
+    if (scope != "open") ChangeNew(from, change);
     if (scope == "new") return;
     for (const auto& weak : pairs_) {
-      if (const auto pair = weak.lock()) pair->Change(change);
+      const auto pair = weak.lock();
+      if (!pair || (from != 0 && pair->source() != from)) continue;
+      pair->Change(change);
     }
   }
 
@@ -173,6 +209,20 @@
   }
 
  private:
+  void ChangeNew(std::uint64_t from, const nlohmann::json& change) {
+    if (from != 0) {
+      for_new_from_.try_emplace(from, for_new_).first->second.Change(change);
+      return;
+    }
+    for_new_.Change(change);
+    for (auto& [host, directions] : for_new_from_) directions.Change(change);
+  }
+
+  Directions ForNew(std::uint64_t from) const {
+    const auto it = for_new_from_.find(from);
+    return it == for_new_from_.end() ? for_new_ : it->second;
+  }
+
   void Accept() {
     acceptor_.async_accept([this](auto code, Tcp::socket socket) {
       if (!code) Add(std::move(socket));
@@ -186,14 +236,16 @@
       return;
     }
     pairs_.remove_if([](const auto& weak) { return weak.expired(); });
-    const auto pair =
-        std::make_shared<Pair>(std::move(socket), for_new_, counters_);
+    const auto pair = std::make_shared<Pair>(
+        std::move(socket), for_new_,
+        [this](std::uint64_t from) { return ForNew(from); }, counters_);
     pairs_.push_back(pair);
     pair->Start(to_);
   }
 
   std::shared_ptr<Counters> counters_ = std::make_shared<Counters>();
   Directions for_new_;
+  std::map<std::uint64_t, Directions> for_new_from_;
   std::list<std::weak_ptr<Pair>> pairs_;
   Tcp::acceptor acceptor_;
   Tcp::endpoint to_;
--- a/tools/standins/standin_target.cpp
+++ b/tools/standins/standin_target.cpp
@@ -110,6 +110,7 @@
   void Handle(const std::shared_ptr<HttpExchange>& exchange) {
     if (exchange->request().path() == "/health") return Health(*exchange);
     ++counters_.requests;
+    Count(exchange->request(), calls_);
     Inspect(exchange->request());
     if (behaviour_.draining) {
       ++counters_.refused_draining;
@@ -127,9 +128,10 @@
   }
 
   bool Control(HttpExchange& exchange) const {
-    if (exchange.request().path() != "/executions") return false;
+    const std::string_view path = exchange.request().path();
+    if (path != "/executions" && path != "/calls") return false;
     std::string lines;
-    for (const auto& [id, count] : executions_) {
+    for (const auto& [id, count] : path == "/calls" ? calls_ : executions_) {
       lines += id + " " + std::to_string(count) + "\n";
     }
     exchange.Reply(MakeResponse(200, "text/plain", std::move(lines)));
@@ -208,16 +210,20 @@
     });
   }
 
-  // Identifies an execution by the idempotency key, else by the caller's
-  // request id. The id is the last word, so that lines of several targets can
-  // be compared.
-  void Record(const HttpRequest& request) {
+  // Identifies a request by the idempotency key, else by the caller's request
+  // id. The id is the last word, so that lines of several targets can be
+  // compared.
+  static int Count(const HttpRequest& request,
+                   std::map<std::string, int>& counts) {
     std::string id(request.header("Idempotency-Key"));
     if (id.empty()) id = request.query("request");
-    if (id.empty() || executions_.size() >= kMaxRecordedIds) return;
-    const std::string line =
-        request.method + " " + std::string(request.path()) + " " + id;
-    const int count = ++executions_[line];
+    if (id.empty() || counts.size() >= kMaxRecordedIds) return 0;
+    return ++counts[request.method + " " + std::string(request.path()) + " " +
+                    id];
+  }
+
+  void Record(const HttpRequest& request) {
+    const int count = Count(request, executions_);
     if (count > 1 && request.method != "GET") ++counters_.double_runs;
   }
 
@@ -321,6 +327,7 @@
   std::deque<WorkPtr> waiting_;
   std::vector<std::shared_ptr<HttpExchange>> silenced_;
   std::size_t running_ = 0;
+  std::map<std::string, int> calls_;  // Refused ones included.
   std::map<std::string, int> executions_;
 };
 
