Check deadlines, recovery and attempts in the fault matrix

A first set of mutations showed what the matrix missed: a call that was written after its deadline, a withdrawn key used long after the fault, duplicates that arrive after the reply, and attempts that were sent but did not run. It now checks them, and sends a probe through every host long after the fault.

--- a/tests/matrix/violations.cpp
+++ b/tests/matrix/violations.cpp
@@ -36,7 +36,13 @@
   std::map<std::string, int> fronts;
   std::set<std::string> flood;
   Instant flood_end = flood_began_;
+  std::map<std::string, const Attempt*> by_id;
+  for (const auto& attempt : attempts_) by_id[attempt->id] = attempt.get();
   for (const Execution& execution : executions_) {
+    const auto sender = by_id.find(execution.attempt);
+    if (sender != by_id.end() && execution.at > sender->second->deadline) {
+      list.push_back("P6: a call was written after its deadline");
+    }
     if (execution.path == "/deposits") ++deposits[execution.ticket];
     if (execution.path == "/ledger") ++ledgers[execution.ticket];
     const bool front = IsFront(execution);
@@ -71,7 +77,10 @@
   for (const auto& attempt : attempts_) {
     const auto it = fronts.find(attempt->id);
     const int runs = it == fronts.end() ? 0 : it->second;
-    if (runs > 3) list.push_back("P1: more than two extra attempts");
+    const auto calls = calls_.find(attempt->id);
+    if (runs > 3 || (calls != calls_.end() && calls->second > 3)) {
+      list.push_back("P1: more than two extra attempts");
+    }
     if (attempt->abandoned || attempt->entry_died) continue;
     if (!attempt->answered) {
       list.push_back("P5: no answer to " + attempt->id);
@@ -90,6 +99,15 @@
     }
     const bool at_leaving =
         !leaving_.empty() && attempt->id.rfind(leaving_ + "#", 0) == 0;
+    if (attempt->probe && fault_ == Fault::kKeyWithdrawn &&
+        attempt->response.status != 403) {
+      list.push_back("P3: a withdrawn key works");
+    }
+    if (attempt->probe && fault_ != Fault::kKeyWithdrawn &&
+        fault_ != Fault::kPresetSwitched && !at_leaving &&
+        attempt->response.status != 200) {
+      list.push_back("no recovery after the fault: " + attempt->response.body);
+    }
     const bool must_succeed =
         fault_ == Fault::kNone ||
         (fault_ == Fault::kTargetHostLeaves && !at_leaving);
--- a/tests/matrix/world.cpp
+++ b/tests/matrix/world.cpp
@@ -316,6 +316,10 @@
                                                           : it->second.from;
   if (std::holds_alternative<Call>(message)) {
     const auto& call = std::get<Call>(message);
+    const bool front = call.path == "/stock" || call.path == "/deposits";
+    if (front && !call.to_ticket_issuer) {
+      ++calls_[std::string(FindHeader(call.headers, "X-Attempt"))];
+    }
     Reach(Step::kCallSent, from.name(),
           std::string(FindHeader(call.headers, "X-Attempt")));
   } else if (std::holds_alternative<Reply>(message)) {
@@ -344,6 +348,7 @@
   if (duplicate_) {
     receiver->time().At(time_.Now() + delay, arrive);
     receiver->time().At(time_.Now() + delay * 20, arrive);
+    receiver->time().At(time_.Now() + delay * 200, arrive);  // after its reply
   }
 }
 
@@ -395,6 +400,8 @@
   }
   node->time().At(time_.Now(), [this, host, exchange, request] {
     if (Node* live = Find(host)) {
+      // The time of a request counts from when the daemon reads it.
+      exchanges_.at(exchange)->deadline = time_.Now() + kTimeout;
       live->entry().OnRequest(exchange, HttpRequest(request));
     }
   });
@@ -441,6 +448,10 @@
   time_.RunUntil(time_.Now() + kTimeout + milliseconds(100));
   Repeat("/deposits", ticket, kRepeats);
   time_.RunUntil(time_.Now() + seconds(5));
+  for (const auto& [name, domain] : domain_of_) {
+    Send(name, "/stock", {}).probe = true;
+  }
+  time_.RunUntil(time_.Now() + seconds(1));
 }
 
 }  // namespace lentilcross::matrix
--- a/tests/matrix/world.h
+++ b/tests/matrix/world.h
@@ -48,6 +48,7 @@
   bool answered = false;
   bool abandoned = false;
   bool entry_died = false;
+  bool probe = false;  ///< Sent long after the fault.
   HttpResponse response;
 };
 
@@ -169,7 +170,8 @@
   std::map<std::uint64_t, Attempt*> exchanges_;
   std::vector<std::unique_ptr<Attempt>> attempts_;
   std::vector<Execution> executions_;
-  std::string watched_;  ///< Attempt whose steps count.
+  std::map<std::string, int> calls_;  ///< Sent for each attempt.
+  std::string watched_;               ///< Attempt whose steps count.
   bool struck_ = false;
   bool one_way_ = false;
   bool partitioned_ = false;
