Find keys by their digest in constant time per lookup

Cause: a lookup compared the digest of the presented key with every listed one, and a new configuration compared every key with every other. The candidate that the index finds is still compared in constant time. A digest that is listed twice, once as withdrawn, does not work; before, the order of a hash table decided.

--- a/include/lentilcross/keys.h
+++ b/include/lentilcross/keys.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <string_view>
-#include <vector>
+#include <unordered_map>
 
 #include "lentilcross/configuration.h"
 #include "lentilcross/error.h"
@@ -30,8 +30,7 @@
   void Apply(const Configuration& configuration);
 
   /// Looks up the SHA-256 digest of a key: `kNone`, `kMissingKey` if empty,
-  /// `kUnknownKey` or `kWithdrawnKey`. Compares with every digest, each in
-  /// constant time, so that the time tells nothing about them.
+  /// `kUnknownKey` or `kWithdrawnKey`. Digests are compared in constant time.
   Lookup Find(std::string_view presented) const;
   /// Checks again a key found before, for a request that left a queue or came
   /// on a connection opened earlier. False if the key was withdrawn, is no
@@ -47,7 +46,9 @@
   Version SinceOf(const KeyEntry& key, Version version) const;
 
   Version version_;
-  std::vector<Entry> entries_;
+  std::unordered_map<KeyId, Entry> entries_;
+  /// By the first 64 bits of the digest.
+  std::unordered_multimap<std::uint64_t, KeyId> by_digest_;
 };
 
 }  // namespace lentilcross
--- a/src/keys.cpp
+++ b/src/keys.cpp
@@ -4,11 +4,21 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <cstring>
 #include <limits>
 #include <stdexcept>
 #include <utility>
 
 namespace lentilcross {
+namespace {
+
+std::uint64_t DigestPrefix(const Sha256Digest& digest) {
+  std::uint64_t prefix = 0;
+  std::memcpy(&prefix, digest.data(), sizeof(prefix));
+  return prefix;
+}
+
+}  // namespace
 
 Sha256Digest Sha256(std::string_view bytes) {
   Sha256Digest digest{};
@@ -41,10 +51,12 @@
 
 void KeyRing::Apply(const Configuration& configuration) {
   if (configuration.version < version_) return;
-  std::vector<Entry> entries;
+  std::unordered_map<KeyId, Entry> entries;
   entries.reserve(configuration.keys.size());
+  by_digest_.clear();
   for (const auto& [id, key] : configuration.keys) {
-    entries.push_back({key, SinceOf(key, configuration.version)});
+    entries.emplace(id, Entry{key, SinceOf(key, configuration.version)});
+    by_digest_.emplace(DigestPrefix(key.sha256), id);
   }
   entries_ = std::move(entries);
   version_ = configuration.version;
@@ -56,37 +68,40 @@
     lookup.reason = Reason::kMissingKey;
     return lookup;
   }
+  // The time of the index depends on the digest of what was presented only. It
+  // tells a caller nothing about the digests of other keys, because nobody can
+  // choose a key by its digest.
   const Sha256Digest digest = Sha256(presented);
-  const Entry* match = nullptr;
-  for (const Entry& entry : entries_) {
-    if (EqualConstantTime(entry.key.sha256, digest)) match = &entry;
+  const auto [first, last] = by_digest_.equal_range(DigestPrefix(digest));
+  for (auto it = first; it != last; ++it) {
+    const Entry& entry = entries_.at(it->second);
+    if (!EqualConstantTime(entry.key.sha256, digest)) continue;
+    lookup.key = entry.key.id;
+    lookup.organisation = entry.key.organisation;
+    lookup.since = entry.since;
+    lookup.reason = entry.key.withdrawn ? Reason::kWithdrawnKey : Reason::kNone;
+    // A digest that is also listed as withdrawn does not work.
+    if (entry.key.withdrawn) break;
   }
-  if (match == nullptr) return lookup;
-  lookup.key = match->key.id;
-  lookup.organisation = match->key.organisation;
-  lookup.since = match->since;
-  lookup.reason = match->key.withdrawn ? Reason::kWithdrawnKey : Reason::kNone;
   return lookup;
 }
 
 bool KeyRing::IsGood(const Lookup& found) const {
   if (found.reason != Reason::kNone) return false;
-  for (const Entry& entry : entries_) {
-    if (entry.key.id != found.key) continue;
-    return !entry.key.withdrawn && entry.since == found.since;
-  }
-  return false;
+  const auto it = entries_.find(found.key);
+  if (it == entries_.end()) return false;
+  const Entry& entry = it->second;
+  return !entry.key.withdrawn && entry.since == found.since;
 }
 
 /// Version since which a key has its digest and its organisation.
 Version KeyRing::SinceOf(const KeyEntry& key, Version version) const {
-  for (const Entry& entry : entries_) {
-    const bool same = entry.key.id == key.id &&
-                      entry.key.organisation == key.organisation &&
-                      EqualConstantTime(entry.key.sha256, key.sha256);
-    if (same) return entry.since;
-  }
-  return version;
+  const auto it = entries_.find(key.id);
+  if (it == entries_.end()) return version;
+  const Entry& known = it->second;
+  const bool same = known.key.organisation == key.organisation &&
+                    EqualConstantTime(known.key.sha256, key.sha256);
+  return same ? known.since : version;
 }
 
 }  // namespace lentilcross
