Send no new work to a target that drains

Cause: the daemon did not recognise a draining target: it passed the target's 503 on, or retried it, and the next call went there again.

Change: a target says that it drains with Lentilcross-Target-State: draining. Its daemon then refuses calls as draining, proven not run, so that senders take another target, and lets one call through every 5 s. The daemon itself stays a member, because the next process of the target uses it again.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -17,6 +17,7 @@
   src/request_rules.cpp
   src/retry_policy.cpp
   src/target_calls.cpp
+  src/target_request.cpp
   src/ticket_calls.cpp)
 target_include_directories(lentilcross_pipeline PUBLIC src)
 target_link_libraries(lentilcross_pipeline PUBLIC lentilcross_core
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -23,6 +23,9 @@
 inline constexpr std::string_view kContext = "Lentilcross-Context";
 inline constexpr std::string_view kOrganisation = "Lentilcross-Organisation";
 inline constexpr std::string_view kImportance = "Lentilcross-Importance";
+/// From a target: `draining` on any answer. With status 503 the target says
+/// that it did not run the request.
+inline constexpr std::string_view kTargetState = "Lentilcross-Target-State";
 inline constexpr std::string_view kContentType = "Content-Type";
 inline constexpr std::string_view kRetryAfter = "Retry-After";
 }  // namespace header
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -6,6 +6,7 @@
 
 #include "call_replies.h"
 #include "lentilcross/config.h"
+#include "target_request.h"
 
 namespace lentilcross {
 namespace {
@@ -16,11 +17,16 @@
 
 /// The bounds of section 6.6: a queue holds a call only for a few milliseconds.
 constexpr Duration kQueueTick = std::chrono::milliseconds(5);
+/// A draining target gets one request in this time, which finds out whether
+/// another process has taken its place.
+constexpr Duration kDrainProbe = std::chrono::seconds(5);
 
 struct Target {
   LocalTarget settings;
   ServiceId service;
   std::unique_ptr<TargetAdmission> admission;
+  /// The target said that it drains; it is not asked again before.
+  Instant drains_until{};
 };
 
 struct Running {
@@ -51,30 +57,6 @@
   }
 };
 
-HttpRequest ToTargetRequest(const Running& running,
-                            const Configuration* configuration, Instant now) {
-  const Call& call = running.call;
-  HttpRequest request{call.method, call.path, call.headers, call.body};
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      running.deadline - now);
-  std::string organisation(kPublicOrganisation);
-  if (configuration != nullptr) {
-    const auto it =
-        configuration->organisations.find(call.context.organisation);
-    if (it != configuration->organisations.end()) {
-      organisation = it->second.name;
-    }
-  }
-  request.headers.emplace_back(header::kContext, running.token);
-  request.headers.emplace_back(
-      header::kTimeout,
-      std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
-  request.headers.emplace_back(header::kOrganisation, organisation);
-  request.headers.emplace_back(header::kImportance,
-                               ToString(call.context.importance));
-  return request;
-}
-
 Sample SampleOf(std::uint16_t status) {
   if (status == 503 || status == 429) return Sample::kRefused;
   return status >= 500 ? Sample::kFailed : Sample::kOk;
@@ -140,6 +122,10 @@
       return;
     }
     running->target = target;
+    if (targets[target].drains_until > now) {
+      Refuse(running, Reason::kDraining, "the target is draining", {});
+      return;
+    }
     StartDeadline(running);
     Apply(target, targets[target].admission->Offer(EntryOf(*running), now));
     StartQueueTimer();
@@ -245,8 +231,9 @@
     }
     by_token[running->token] = running;
     running->sent = state.Now();
-    const HttpRequest request =
-        ToTargetRequest(*running, state.configuration.get(), state.Now());
+    const HttpRequest request = ToTargetRequest(running->call, running->token,
+                                                running->deadline - state.Now(),
+                                                state.configuration.get());
     running->http = client.Start(
         targets[running->target].settings.address, request,
         [this, key = running->key] {
@@ -289,6 +276,16 @@
     const Instant now = state.Now();
     state.fence.OnAnswered(running->key, now);
     state.target_latency.Add(now - running->sent);
+    Target& target = targets[running->target];
+    if (response.header(header::kTargetState) == "draining") {
+      target.drains_until = now + kDrainProbe;
+      if (response.status == 503) {
+        Finish(running,
+               NotRun(running->call, Reason::kDraining, "the target refused"),
+               Sample::kRefused);
+        return;
+      }
+    }
     Reply reply;
     reply.number = running->call.number;
     reply.status = static_cast<std::uint16_t>(response.status);
--- a/tools/standins/standin_target.cpp
+++ b/tools/standins/standin_target.cpp
@@ -114,7 +114,7 @@
     Inspect(exchange->request());
     if (behaviour_.draining) {
       ++counters_.refused_draining;
-      return Refuse(*exchange, "draining");
+      return RefuseDraining(*exchange);
     }
     if (running_ >= behaviour_.slots && waiting_.size() >= behaviour_.queue) {
       ++counters_.shed;
@@ -168,6 +168,12 @@
     exchange.Reply(JsonResponse(503, {{"error", why}}));
   }
 
+  static void RefuseDraining(HttpExchange& exchange) {
+    HttpResponse response = JsonResponse(503, {{"error", "draining"}});
+    response.headers.emplace_back("Lentilcross-Target-State", "draining");
+    exchange.Reply(std::move(response));
+  }
+
   void Health(HttpExchange& exchange) const {
     const bool good = !behaviour_.draining && !behaviour_.silent &&
                       running_ < behaviour_.slots;
