--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -40,7 +40,7 @@
     echo "known red, not run: ${known_red[*]}"
     exclude=(-E "^($(IFS='|'; echo "${known_red[*]}"))$")
   fi
-  ctest --test-dir "$dir" --output-on-failure --no-tests=error -j 6 "${exclude[@]}" "$@"
+  ctest --test-dir "$dir" --output-on-failure --no-tests=error -j 3 "${exclude[@]}" "$@"
 }
 
 if [ -n "$sanitize" ]; then
