--- a/src/onward_pipeline.cpp
+++ b/src/onward_pipeline.cpp
@@ -7,6 +7,7 @@
 #include "call_replies.h"
 #include "lentilcross/config.h"
 #include "request_rules.h"
+#include "ticket_calls.h"
 
 namespace lentilcross {
 namespace {
@@ -108,13 +109,8 @@
       Refuse(onward, Reason::kBadRequest, "POST with count from 1 to 64");
       return;
     }
-    const Instant now = state.Now();
-    std::vector<std::string> tickets;
-    tickets.reserve(static_cast<std::size_t>(*count));
-    for (int i = 0; i < *count; ++i) {
-      tickets.push_back(state.tickets.Issue(organisation, now));
-    }
-    End(onward, MakeTicketResponse(tickets, TicketBook::Init{}.lifetime));
+    End(onward, lentilcross::IssueTickets(state.tickets, organisation, *count,
+                                          state.Now()));
   }
 
   void Send(const OnwardPtr& onward) {
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -156,13 +156,9 @@
       return;
     }
     if (!CheckKey(entry)) return;
-    const Instant now = state.Now();
-    std::vector<std::string> tickets;
-    tickets.reserve(static_cast<std::size_t>(*count));
-    for (int i = 0; i < *count; ++i) {
-      tickets.push_back(state.tickets.Issue(entry->key->organisation, now));
-    }
-    End(entry, {}, MakeTicketResponse(tickets, TicketBook::Init{}.lifetime));
+    End(entry, {},
+        lentilcross::IssueTickets(state.tickets, entry->key->organisation,
+                                  *count, state.Now()));
   }
 
   // ----- Rate and entry gate
--- a/src/ticket_calls.cpp
+++ b/src/ticket_calls.cpp
@@ -2,9 +2,11 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "call_replies.h"
 #include "http_types.h"
+#include "request_rules.h"
 
 namespace lentilcross {
 namespace {
@@ -48,6 +50,16 @@
   return reply;
 }
 
+HttpResponse IssueTickets(TicketBook& tickets, OrganisationId organisation,
+                          int count, Instant now) {
+  std::vector<std::string> issued;
+  issued.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    issued.push_back(tickets.Issue(organisation, now));
+  }
+  return MakeTicketResponse(issued, TicketBook::Init{}.lifetime);
+}
+
 void FinishTicket(TicketBook& tickets, std::uint64_t serial,
                   const Reply& reply) {
   if (IsNotRun(reply)) {
--- a/src/ticket_calls.h
+++ b/src/ticket_calls.h
@@ -11,6 +11,10 @@
 /// Reply for a ticket that may not run now: `use.reason` is not `kNone`.
 Reply ReplyToUse(const TicketBook::Use& use);
 
+/// Response of the ticket endpoint with `count` new tickets.
+HttpResponse IssueTickets(TicketBook& tickets, OrganisationId organisation,
+                          int count, Instant now);
+
 /// Records how the run of a claimed ticket ended.
 void FinishTicket(TicketBook& tickets, std::uint64_t serial,
                   const Reply& reply);
