--- a/cmake/tools.cmake
+++ b/cmake/tools.cmake
@@ -12,8 +12,3 @@
 add_executable(rate_compare tools/rate_compare/rate_compare.cpp
                             tools/rate_compare/other_policies.cpp)
 target_link_libraries(rate_compare PRIVATE rate_fleet cxxopts::cxxopts)
-# GCC 12 reports uninitialised members of std::regex, which cxxopts uses, when
-# sanitizers are on.
-if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
-  target_compile_options(rate_compare PRIVATE -Wno-maybe-uninitialized)
-endif()
