Keep own quotas in force between two contacts with peers

A daemon suspends its own quotas half of rate_handover after its last contact. Contact came only with digests, one a second, and counted from the last heartbeat of the link, up to another second earlier. After a cut a daemon of a small domain hears digests from one peer only, and the probes of "wait until serving" were refused with 429 until both owners of the domain were in force together.

Digests and the heartbeats of idle links now come at least every eighth of rate_handover. The defaults (10 s, 1 s) do not change. The counter lentilcross_rate_suspensions_total shows suspensions.

--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -1,5 +1,6 @@
 #include "control_loop.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -259,6 +260,8 @@
   spread_init.self = HostId::FromName(init.host);
   spread_init.failure_domain = FailureDomainId::FromName(init.failure_domain);
   spread_init.startup_wait = init.startup_wait;
+  spread_init.digest_interval =
+      std::min(spread_init.digest_interval, LongestContactInterval(init));
   spread_init.key_staleness_limit = init.key_staleness_limit;
   BOOST_LEAF_AUTO(spread, Spread::Create(spread_init));
   return std::unique_ptr<ControlLoop>(new ControlLoop(
--- a/src/daemon_init.h
+++ b/src/daemon_init.h
@@ -93,4 +93,11 @@
   StatsHook on_stats;
 };
 
+/// Longest time between two digests to peers, and between two heartbeats of an
+/// idle link. Own quotas are in force for half of `rate_handover` after a
+/// contact; with an eighth a digest that is lost or late suspends none.
+inline Duration LongestContactInterval(const DaemonInit& init) {
+  return init.rate_handover / 8;
+}
+
 }  // namespace lentilcross
--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -1,5 +1,6 @@
 #include "data_loop.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <type_traits>
@@ -48,6 +49,8 @@
   links.failure_domain = state.failure_domain;
   links.keys = init.peer_keys;
   links.seed = state.incarnation.value();
+  links.heartbeat_idle =
+      std::min(links.heartbeat_idle, LongestContactInterval(init));
   return links;
 }
 
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -108,6 +108,8 @@
   out.Counter("rate_admitted_total", "Requests charged.", rate.admitted);
   out.Counter("rate_refused_total", "Requests without a token.", rate.refused);
   out.Counter("rate_waited_total", "Charges that had to wait.", rate.waited);
+  out.Counter("rate_suspensions_total",
+              "Own quotas suspended for want of contact.", rate.suspensions);
   out.Counter("loans_granted_total", "Quota lent.", rate.loans_granted);
   out.Counter("loans_taken_total", "Quota borrowed.", rate.loans_taken);
   out.Counter("loans_expired_total", "Loans that ended.", rate.loans_expired);
--- /dev/null
+++ b/tests/daemon/rate_contact_test.cpp
@@ -0,0 +1,36 @@
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "daemon/fleet.h"
+
+namespace lentilcross::testing {
+namespace {
+
+// Guards against own quotas that are suspended between two digests although the
+// peer is there all the time: callers within rate are then refused. The
+// platform gives no contact: an unchanged watch began longer ago than half of
+// the handover.
+BOOST_AUTO_TEST_CASE(quotas_stay_in_force_while_a_peer_is_there) {
+  Fleet fleet;
+  // The shortest that the settings allow.
+  const auto shortest = [](DaemonInit& init) {
+    init.loan_term = std::chrono::milliseconds(500);
+    init.rate_handover = std::chrono::seconds(2);
+  };
+  fleet.AddHost("one", "domain-1", {}, shortest);
+  fleet.AddHost("two", "domain-1", {}, shortest);
+  fleet.Start();
+  // Contact is scarce while the daemons find each other.
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  const auto suspensions = [&fleet](const std::string& host) {
+    return fleet.at(host).stats().rate.suspensions;
+  };
+  const auto one = suspensions("one");
+  const auto two = suspensions("two");
+  std::this_thread::sleep_for(std::chrono::seconds(6));
+  BOOST_TEST(suspensions("one") == one);
+  BOOST_TEST(suspensions("two") == two);
+}
+
+}  // namespace
+}  // namespace lentilcross::testing
