Let no Hello cross a one-way cut; name the hosts that do not answer

The relay learns which host dialled a connection from its Hello, and passed everything before that. The accepting side sends its own Hello with the upgrade response, so this Hello crossed a cut towards the dialling side, which answered with its proof. The host behind the cut saw a new link for 1 s, again and again, until the other side gave the handshake up.

The relay now holds frames of the accepting side back until the Hello of the dialling side is known.

A failed wait for ready or serving hosts now names each host that did not answer, with the status and the body of its last answer.

--- a/tools/scenario/runner.cpp
+++ b/tools/scenario/runner.cpp
@@ -100,13 +100,22 @@
   return members;
 }
 
-int Runner::Probe(const Host& host, const std::string& organisation) const {
+web::HttpResponse Runner::ProbeAnswer(const Host& host,
+                                      const std::string& organisation) const {
   web::HttpRequest request;
   request.target = fleet.LookupRoute();
   request.headers = {{"X-Api-Key", fleet.organisations.at(organisation).key}};
   const auto result =
       web::HttpCall(fleet.Address(host, Port::kCaller), request, kCallTimeout);
-  return result.failure == web::HttpFailure::kNone ? result.response.status : 0;
+  if (result.failure == web::HttpFailure::kNone) return result.response;
+  web::HttpResponse none;
+  none.status = 0;
+  none.body = "no answer";
+  return none;
+}
+
+int Runner::Probe(const Host& host, const std::string& organisation) const {
+  return ProbeAnswer(host, organisation).status;
 }
 
 Json Runner::Counters(const Host& host) const {
--- a/tools/scenario/runner.h
+++ b/tools/scenario/runner.h
@@ -9,6 +9,7 @@
 
 #include "child.h"
 #include "fleet.h"
+#include "http_message.h"
 #include "script.h"
 
 namespace lentilcross::scenario {
@@ -61,7 +62,10 @@
   /// Hosts of the fleet whose daemon should run and is not paused.
   std::vector<const Host*> MemberHosts();
   bool IsRunning(const std::string& host);
-  /// HTTP status of a lookup with the key of an organisation; 0 if none came.
+  /// Answer to a lookup with the key of an organisation; status 0 if none came.
+  web::HttpResponse ProbeAnswer(const Host& host,
+                                const std::string& organisation) const;
+  /// Its status.
   int Probe(const Host& host, const std::string& organisation) const;
   nlohmann::json Counters(const Host& host) const;
   std::uint64_t Executions() const;
--- a/tools/scenario/waits.cpp
+++ b/tools/scenario/waits.cpp
@@ -13,22 +13,58 @@
 // A host gets no new work if its target saw no request for this long.
 constexpr std::chrono::milliseconds kQuiet(1000);
 
-// A host that has answered is not asked again: repeated probes of all hosts
-// would use up the rate of the organisation.
-Failure WaitReady(Runner& runner, const Step& step) {
-  const std::string organisation = runner.fleet.organisations.begin()->first;
-  auto hosts = runner.MemberHosts();
-  return runner.WaitUntil(step.at(0), "all daemons ready", [&] {
+// Asks hosts for a lookup until each has answered once.
+class ServingHosts {
+ public:
+  ServingHosts(Runner& runner, std::vector<std::string> hosts)
+      : runner_(runner),
+        organisation_(runner.fleet.organisations.begin()->first),
+        hosts_(std::move(hosts)) {}
+
+  // A host that has answered is not asked again: repeated probes of all hosts
+  // would use up the rate of the organisation.
+  bool AllServe(const std::function<bool(const std::string&)>& may_ask) {
     const auto end =
-        std::remove_if(hosts.begin(), hosts.end(), [&](const Host* host) {
-          const Json& status = runner.statuses[host->name];
-          // Ready comes before the handover time of the quotas has passed.
-          return status.is_object() && status.value("ready", false) &&
-                 runner.Probe(*host, organisation) == kOk;
+        std::remove_if(hosts_.begin(), hosts_.end(), [&](const auto& name) {
+          if (!may_ask(name)) return false;
+          const auto answer =
+              runner_.ProbeAnswer(runner_.fleet.host(name), organisation_);
+          answers_[name] = std::to_string(answer.status) + " " + answer.body;
+          return answer.status == kOk;
         });
-    hosts.erase(end, hosts.end());
-    return hosts.empty();
-  });
+    hosts_.erase(end, hosts_.end());
+    return hosts_.empty();
+  }
+
+  // Adds the last answer of each host that does not serve to a failure.
+  Failure Describe(Failure failure) const {
+    if (failure.empty()) return "";
+    for (const auto& name : hosts_) {
+      const auto it = answers_.find(name);
+      failure += "\n    " + name + ": " +
+                 (it == answers_.end() ? "not ready" : it->second);
+    }
+    return failure;
+  }
+
+ private:
+  Runner& runner_;
+  std::string organisation_;
+  std::vector<std::string> hosts_;
+  std::map<std::string, std::string> answers_;
+};
+
+Failure WaitReady(Runner& runner, const Step& step) {
+  std::vector<std::string> names;
+  for (const Host* host : runner.MemberHosts()) names.push_back(host->name);
+  ServingHosts hosts(runner, names);
+  return hosts.Describe(runner.WaitUntil(step.at(0), "all daemons ready", [&] {
+    // Ready comes before the handover time of the quotas has passed.
+    return hosts.AllServe([&](const std::string& name) {
+      const Json& status = runner.statuses[name];
+      return status.is_object() && status.value("ready", false);
+    });
+  }));
 }
 
 Failure WaitTraffic(Runner& runner, const Step& step) {
@@ -98,16 +134,10 @@
 }
 
 Failure WaitServing(Runner& runner, const Step& step) {
-  const std::string organisation = runner.fleet.organisations.begin()->first;
-  auto hosts = step.from(1);
-  return runner.WaitUntil(step.at(0), "serving", [&] {
-    const auto end =
-        std::remove_if(hosts.begin(), hosts.end(), [&](const auto& name) {
-          return runner.Probe(runner.fleet.host(name), organisation) == kOk;
-        });
-    hosts.erase(end, hosts.end());
-    return hosts.empty();
-  });
+  ServingHosts hosts(runner, step.from(1));
+  return hosts.Describe(runner.WaitUntil(step.at(0), "serving", [&] {
+    return hosts.AllServe([](const std::string&) { return true; });
+  }));
 }
 
 Failure WaitExited(Runner& runner, const Step& step) {
--- a/tools/standins/peer_hello.h
+++ b/tools/standins/peer_hello.h
@@ -14,6 +14,8 @@
   /// Adds bytes of the dialling side. True once, when the host becomes known.
   bool Add(std::string_view bytes);
 
+  /// True if the host is known, or the bytes are no peer link.
+  bool done() const { return done_; }
   /// 0 while it is unknown.
   std::uint64_t host() const { return host_; }
 
--- a/tools/standins/standin_relay.cpp
+++ b/tools/standins/standin_relay.cpp
@@ -15,6 +15,8 @@
 #include <iostream>
 #include <list>
 #include <map>
+#include <string>
+#include <string_view>
 
 #include "peer_hello.h"
 #include "standin.h"
@@ -114,9 +116,45 @@
   }
 
   void Identify(std::size_t size) {
-    if (!hello_.Add({forward_buffer_.data(), size})) return;
-    directions_ = directions_of_(hello_.host());
-    CloseIfCut();
+    if (hello_.Add({forward_buffer_.data(), size})) {
+      directions_ = directions_of_(hello_.host());
+      CloseIfCut();
+    }
+    if (hello_.done()) ReleaseFrames();
+  }
+
+  // The accepting side of a peer link sends its first frames before the Hello
+  // of the dialling side arrives. They are held back until it is known whether
+  // they may pass; otherwise a Hello would cross a cut. Returns how many of the
+  // bytes, which follow the upgrade response, may pass now.
+  std::size_t HoldFrames(std::size_t size) {
+    if (hello_.done()) return size;
+    const std::string_view bytes(backward_buffer_.data(), size);
+    if (!upgraded_) {
+      const std::size_t head = bytes.find("\r\n\r\n");
+      constexpr std::string_view kUpgrade = "HTTP/1.1 101";
+      const bool upgrade = bytes.substr(0, kUpgrade.size()) == kUpgrade;
+      if (!upgrade || head == std::string_view::npos) return size;
+      upgraded_ = true;
+      size = head + 4;
+      held_.append(bytes.substr(size));
+      return size;
+    }
+    held_.append(bytes);
+    return 0;
+  }
+
+  void ReleaseFrames() {
+    if (held_.empty()) return;
+    if (directions_.backward.mode == Mode::kSilent) {
+      counters_->swallowed_bytes += held_.size();
+      lost_ = true;
+    } else {
+      counters_->backward_bytes += held_.size();
+      boost::system::error_code ignored;
+      asio::write(in_, asio::buffer(held_), ignored);
+    }
+    held_.clear();
   }
 
   void Copy(bool forward) {
@@ -127,7 +165,9 @@
         [self = shared_from_this(), forward](auto code, std::size_t size) {
           if (code) return self->Close();
           if (forward) self->Identify(size);
-          self->Delay(forward, size);
+          const std::size_t passing = forward ? size : self->HoldFrames(size);
+          if (passing == 0) return self->Copy(forward);
+          self->Delay(forward, passing);
         });
   }
 
@@ -171,6 +211,8 @@
   DirectionsOf directions_of_;
   PeerHello hello_;
   bool lost_ = false;
+  bool upgraded_ = false;
+  std::string held_;  ///< Frames of the accepting side.
   std::shared_ptr<Counters> counters_;
   Tcp::socket in_;
   Tcp::socket out_;
