Answer requests that have arrived when a listener closes

At the end of a drain HttpFront::Close closed every connection, also one with a request in the socket that was not read yet or only in part, and one that was established but not accepted. The kernel resets such a connection, so the caller saw a closed connection in place of "draining". A slow process, for example under ThreadSanitizer, has such requests at the end of the 250 ms without running requests that the drain waits for.

Close now accepts what is waiting, ends only connections without any byte of a request, and lets the others be read and answered. The drain waits for them for the time it already allows for the closing handshakes of the links (250 ms).

--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -150,7 +150,10 @@
       links.StopListening();
       links.CloseAll();
     };
-    hooks.closed = [this] { return links.LinkedHosts().empty(); };
+    hooks.closed = [this] {
+      return links.LinkedHosts().empty() && caller_front.closed() &&
+             onward_front.closed();
+    };
     hooks.end = [this](int status) {
       exit_status = status;
       io.stop();
--- a/src/http_front.cpp
+++ b/src/http_front.cpp
@@ -45,7 +45,15 @@
   bool keep_alive = true;
   bool head = false;
   bool writing = false;
+  bool lingering = false;  ///< The last response is sent.
   std::uint64_t number = 0;
+
+  /// True if a part of a request has arrived, also if it is not read yet.
+  bool HasBytes() const {
+    if (buffer.size() > 0 || parser->got_some()) return true;
+    error_code ignored;
+    return stream.socket().available(ignored) > 0;
+  }
 };
 
 using SessionPtr = std::shared_ptr<Session>;
@@ -123,10 +131,16 @@
     session->parser->body_limit(LENTILCROSS_CONFIG_MAX_BODY);
     session->parser->header_limit(kMaxHeaderBytes);
     session->stream.expires_after(init.idle);
+    ReadHeader(session);
+  }
+
+  void ReadHeader(const SessionPtr& session) {
     http::async_read_header(
         session->stream, session->buffer, *session->parser,
         [self = shared_from_this(), session](error_code error, std::size_t) {
-          if (error) {
+          if (error == asio::error::operation_aborted && session->HasBytes()) {
+            self->ReadHeader(session);
+          } else if (error) {
             self->OnReadFailed(session, error);
           } else {
             self->ReadBody(session);
@@ -231,6 +245,7 @@
       Read(session);
       return;
     }
+    session->lingering = true;
     error_code ignored;
     session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     session->stream.expires_after(kLinger);
@@ -258,6 +273,43 @@
     sessions.erase(session->number);
   }
 
+  void Close() {
+    AcceptWaiting();
+    error_code ignored;
+    acceptor.close(ignored);
+    accept_timer.cancel();
+    // Bytes may have been read already although the handler has not run yet.
+    // Cancelling the reads tells: only those without bytes end.
+    for (const auto& [number, session] : sessions) {
+      const bool waits = session->exchange == 0 && !session->lingering &&
+                         !session->parser->is_header_done();
+      if (waits) session->stream.cancel();
+    }
+  }
+
+  /// Takes over connections that are established but not accepted yet: closing
+  /// the acceptor would reset them.
+  void AcceptWaiting() {
+    error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+      tcp::socket socket(io);
+      acceptor.accept(socket, error);
+      if (!error) OnAccepted(std::move(socket));
+    }
+  }
+
+  void CloseAtOnce() {
+    error_code ignored;
+    acceptor.close(ignored);
+    accept_timer.cancel();
+    auto open = std::exchange(sessions, {});
+    for (const auto& [number, session] : open) {
+      session->stream.socket().close(ignored);
+    }
+    exchanges.clear();
+  }
+
   asio::io_context& io;
   Init init;
   Hooks hooks;
@@ -274,7 +326,7 @@
 HttpFront::HttpFront(asio::io_context& io, const Init& init, Hooks hooks)
     : impl_(std::make_shared<Impl>(io, init, std::move(hooks))) {}
 
-HttpFront::~HttpFront() { Close(); }
+HttpFront::~HttpFront() { impl_->CloseAtOnce(); }
 
 Result<Endpoint> HttpFront::Listen(const Endpoint& endpoint) {
   error_code error;
@@ -304,15 +356,10 @@
 
 void HttpFront::BeginDrain() { impl_->draining = true; }
 
-void HttpFront::Close() {
-  error_code ignored;
-  impl_->acceptor.close(ignored);
-  impl_->accept_timer.cancel();
-  auto sessions = std::exchange(impl_->sessions, {});
-  for (const auto& [number, session] : sessions) {
-    session->stream.socket().close(ignored);
-  }
-  impl_->exchanges.clear();
+void HttpFront::Close() { impl_->Close(); }
+
+bool HttpFront::closed() const {
+  return !impl_->acceptor.is_open() && impl_->sessions.empty();
 }
 
 std::size_t HttpFront::running() const { return impl_->exchanges.size(); }
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -36,7 +36,11 @@
   void Respond(ExchangeId exchange, HttpResponse response);
   /// From now on each response closes its connection.
   void BeginDrain();
+  /// Stops listening and closes idle connections. A request that has arrived in
+  /// part or unread is still read and answered.
   void Close();
+  /// True once no connection is left after `Close`.
+  bool closed() const;
 
   /// Requests that are not completely answered yet.
   std::size_t running() const;
