Determine the byte order for websocketpp before the first frame

websocketpp finds out the byte order at the first frame and keeps it in a static variable without synchronisation. Several daemons in one process, as in the daemon tests or an embedding program, send their first frames from several threads: a data race, the only one that ThreadSanitizer reported.

PeerTransport now calls the function once behind an initialised static before any frame.

--- a/src/peer_transport.cpp
+++ b/src/peer_transport.cpp
@@ -17,6 +17,14 @@
 namespace lentilcross {
 namespace {
 
+/// websocketpp finds out the byte order at the first call and keeps it in a
+/// static variable without synchronisation, a data race if two daemons of one
+/// process send their first frames at the same time.
+void PrepareByteOrder() {
+  static const std::uint64_t prepared = websocketpp::lib::net::_htonll(1);
+  static_cast<void>(prepared);
+}
+
 /// Bytes of frames that may wait for one socket.
 constexpr std::size_t kMaxBufferedBytes =
     std::size_t{8} * LENTILCROSS_CONFIG_MAX_PEER_MESSAGE;
@@ -92,6 +100,7 @@
 struct PeerTransport::Impl : std::enable_shared_from_this<Impl> {
   Impl(boost::asio::io_context& context, Hooks transport_hooks)
       : io(context), hooks(std::move(transport_hooks)) {
+    PrepareByteOrder();
     server.init_asio(&io);
     server.set_reuse_addr(true);
     client.init_asio(&io);
