Run every fault at every step of configuration and membership

The fault matrix knew only the steps of a request and of a loan. Whether a fault during the spread of a version or a change of the members breaks a promise was tested apart, without a fault at each step.

It checks that a version never goes back, that a withdrawn key stays withdrawn, that a version is in force within 4 s wherever a connected peer has it, that a leaving host is not used after 4 s, and that every host recovers.

The documents of both matrices move to a file of their own.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -28,7 +28,11 @@
 
 # The request path of the daemon on fakes, in virtual time.
 lentilcross_add_test(tests/fault_matrix_test.cpp lentilcross_pipeline)
-target_sources(fault_matrix_test PRIVATE tests/matrix/node.cpp
+target_sources(fault_matrix_test PRIVATE tests/matrix/control_checks.cpp
+                                         tests/matrix/control_node.cpp
+                                         tests/matrix/control_world.cpp
+                                         tests/matrix/documents.cpp
+                                         tests/matrix/node.cpp
                                          tests/matrix/violations.cpp
                                          tests/matrix/world.cpp)
 
--- a/tests/fault_matrix_test.cpp
+++ b/tests/fault_matrix_test.cpp
@@ -1,7 +1,9 @@
 #include <boost/test/unit_test.hpp>
+#include <cstdio>
 #include <cstdlib>
 #include <string>
 
+#include "matrix/control_world.h"
 #include "matrix/world.h"
 
 namespace lentilcross::matrix {
@@ -40,6 +42,31 @@
   }
 }
 
+void RunControlCell(ControlStep step, ControlFault fault, Counts& counts) {
+  const std::string name =
+      std::string(kControlStepNames[static_cast<std::size_t>(step)]) + " x " +
+      std::string(kControlFaultNames[static_cast<std::size_t>(fault)]);
+  const std::string_view reason = RuledOut(step, fault);
+  if (!reason.empty()) {
+    ++counts.ruled_out;
+    BOOST_TEST_MESSAGE(name << ": ruled out, " << reason);
+    return;
+  }
+  ++counts.run;
+  ControlWorld world(step, fault, Seed());
+  world.Run();
+  if (!world.violations().empty()) ++counts.failed;
+  BOOST_TEST(world.struck(), name << ": the step was not reached");
+  for (const std::string& violation : world.violations()) {
+    BOOST_ERROR(name << ": " << violation << " (seed " << Seed() << ")");
+  }
+}
+
+void Print(const char* matrix, const Counts& counts) {
+  std::printf("%s: %d cells run, %d ruled out, %d failed\n", matrix, counts.run,
+              counts.ruled_out, counts.failed);
+}
+
 // Guards against a fault that breaks one of the promises of the design at some
 // step of a request or of a loan. Every cell runs the request path of the
 // daemon in virtual time.
@@ -53,8 +80,21 @@
       }
     }
   }
-  std::printf("fault matrix: %d cells run, %d ruled out, %d failed\n",
-              counts.run, counts.ruled_out, counts.failed);
+  Print("fault matrix", counts);
+}
+
+// Guards against a fault during the spread of a configuration or a change of
+// the members that takes a version or a withdrawal of a key back, keeps a
+// version from hosts that are connected, or sends work to a leaving host.
+BOOST_AUTO_TEST_CASE(every_fault_at_every_step_of_control) {
+  Counts counts;
+  for (std::size_t step = 0; step < kControlStepNames.size(); ++step) {
+    for (std::size_t fault = 0; fault < kControlFaultNames.size(); ++fault) {
+      RunControlCell(static_cast<ControlStep>(step),
+                     static_cast<ControlFault>(fault), counts);
+    }
+  }
+  Print("fault matrix of control", counts);
 }
 
 }  // namespace
