Run all pairs of faults at every step of a request

The fault matrix struck with one fault per cell, while the design asks for faults in combination or twice.

A world of the matrix now takes a list of faults. The new test fault_pairs runs all unordered pairs, also of a fault with itself, at each of the 14 steps with the same checks. The seed chooses the order and the step of the second fault; if the first one ends the request before that step, the second strikes up to 1 s later.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -35,6 +35,7 @@
 target_link_libraries(lentilcross_matrix PUBLIC lentilcross_pipeline
                                                 lentilcross_core)
 lentilcross_add_test(tests/fault_matrix_test.cpp lentilcross_matrix)
+lentilcross_add_test(tests/fault_pairs_test.cpp lentilcross_matrix)
 lentilcross_add_test(tests/peer_calls_test.cpp lentilcross_pipeline)
 
 if(TARGET lentilcross_daemon)
--- a/tests/fault_matrix_test.cpp
+++ b/tests/fault_matrix_test.cpp
@@ -32,7 +32,7 @@
     return;
   }
   ++counts.run;
-  World world(step, fault, Seed());
+  World world({{step, fault}}, Seed());
   world.Run(lookup);
   const auto violations = world.Violations();
   if (!violations.empty()) ++counts.failed;
--- a/tests/matrix/violations.cpp
+++ b/tests/matrix/violations.cpp
@@ -57,8 +57,8 @@
     if (execution.organisation != owner) {
       list.push_back("P3: ran for " + execution.organisation);
     }
-    if (!leaving_.empty() && execution.host == leaving_ &&
-        execution.at > left_at_ + kLeavingKnown) {
+    const auto left = leaving_.find(execution.host);
+    if (left != leaving_.end() && execution.at > left->second + kLeavingKnown) {
       list.push_back("P8: new work at a leaving host");
     }
   }
@@ -97,20 +97,21 @@
         attempt->sent > withdrawn_at_ + kPublished) {
       list.push_back("P3: ran with a withdrawn key");
     }
-    const bool at_leaving =
-        !leaving_.empty() && attempt->id.rfind(leaving_ + "#", 0) == 0;
-    if (attempt->probe && fault_ == Fault::kKeyWithdrawn &&
+    const std::string host = attempt->id.substr(0, attempt->id.find('#'));
+    const bool at_leaving = leaving_.count(host) != 0;
+    const bool all_leave = leaving_.size() == 2;
+    if (attempt->probe && Has(Fault::kKeyWithdrawn) && !at_leaving &&
         attempt->response.status != 403) {
       list.push_back("P3: a withdrawn key works");
     }
-    if (attempt->probe && fault_ != Fault::kKeyWithdrawn &&
-        fault_ != Fault::kPresetSwitched && !at_leaving &&
+    if (attempt->probe && !Has(Fault::kKeyWithdrawn) &&
+        !Has(Fault::kPresetSwitched) && !at_leaving && !all_leave &&
         attempt->response.status != 200) {
       list.push_back("no recovery after the fault: " + attempt->response.body);
     }
     const bool must_succeed =
-        fault_ == Fault::kNone ||
-        (fault_ == Fault::kTargetHostLeaves && !at_leaving);
+        HasOnly({Fault::kNone, Fault::kTargetHostLeaves}) && !at_leaving &&
+        !all_leave;
     if (must_succeed && attempt->response.status != 200) {
       list.push_back("P9: cut request " + attempt->id + " " +
                      attempt->response.body);
--- a/tests/matrix/world.cpp
+++ b/tests/matrix/world.cpp
@@ -20,8 +20,8 @@
 constexpr int kFloodRequests = 25;  ///< At each of the three hosts.
 }  // namespace
 
-World::World(Step step, Fault fault, std::uint64_t seed)
-    : step_(step), fault_(fault), last_incarnation_(seed * 1000) {
+World::World(std::vector<PlannedFault> faults, std::uint64_t seed)
+    : faults_(std::move(faults)), last_incarnation_(seed * 1000) {
   document_ = RequestDocument();
   configuration_ = ParseDocument(document_);
   domain_of_ = {
@@ -46,7 +46,8 @@
   for (const auto& [id, link] : links_) {
     if (link.from == host || link.to == host) broken.push_back(id);
   }
-  nodes_.erase(host);
+  if (nodes_.erase(host) == 0) return;
+  leaving_.erase(host);
   for (const LinkId link : broken) CloseLink(link);
   for (const auto& attempt : attempts_) {
     if (!attempt->answered && attempt->id.rfind(host + "#", 0) == 0) {
@@ -78,14 +79,37 @@
 
 void World::Reach(Step step, const std::string& host,
                   const std::string& attempt) {
-  if (struck_ || watched_.empty() || attempt != watched_ || step != step_) {
-    return;
+  if (watched_.empty() || attempt != watched_) return;
+  while (!struck() && faults_[next_fault_].step == step) {
+    ++at_steps_;
+    StrikeNext(host);
   }
-  struck_ = true;
-  Strike(host);
 }
 
-void World::Strike(const std::string& host) {
+void World::StrikeNext(const std::string& host) {
+  const Fault fault = faults_[next_fault_++].fault;
+  const std::size_t next = next_fault_;
+  Strike(fault, host);
+  if (struck()) return;
+  time_.At(time_.Now() + faults_[next].at_latest, [this, host, next] {
+    if (next_fault_ == next) StrikeNext(host);
+  });
+}
+
+bool World::Has(Fault fault) const {
+  return std::any_of(
+      faults_.begin(), faults_.end(),
+      [fault](const PlannedFault& planned) { return planned.fault == fault; });
+}
+
+bool World::HasOnly(const std::set<Fault>& faults) const {
+  return std::all_of(faults_.begin(), faults_.end(),
+                     [&faults](const PlannedFault& planned) {
+                       return faults.count(planned.fault) != 0;
+                     });
+}
+
+void World::Strike(Fault fault, const std::string& host) {
   // The host in front of the target is where the step happened, or the one that
   // the first target of the service is on.
   const std::string target_host = host == "entry" ? "one" : host;
@@ -93,53 +117,65 @@
   const auto later = [this](std::function<void()> work) {
     time_.At(time_.Now(), std::move(work));
   };
-  switch (fault_) {
+  const auto pause = [this](const std::string& name) {
+    Node* node = Find(name);
+    if (node != nullptr) node->time().PauseUntil(time_.Now() + kFaultLasts);
+  };
+  switch (fault) {
     case Fault::kEntryKilled:
-      later([this] { Kill("entry"); });
-      return;
+      return later([this] { Kill("entry"); });
     case Fault::kTargetHostKilled:
-      later([this, target_host] { Kill(target_host); });
-      return;
+      return later([this, target_host] { Kill(target_host); });
     case Fault::kEntryPaused:
-      Find("entry")->time().PauseUntil(time_.Now() + kFaultLasts);
-      return;
+      return pause("entry");
     case Fault::kTargetHostPaused:
-      Find(target_host)->time().PauseUntil(time_.Now() + kFaultLasts);
-      return;
+      return pause(target_host);
     case Fault::kKeyWithdrawn:
-      withdrawn_at_ = time_.Now();
-      later([this] {
-        Publish([](Json& c) { c["keys"]["coopers"]["withdrawn"] = true; });
-      });
-      return;
+      return Withdraw();
     case Fault::kPresetSwitched:
-      later([this] { Publish([](Json& c) { c["preset"] = "peak"; }); });
-      return;
+      return later([this] { Publish([](Json& c) { c["preset"] = "peak"; }); });
     case Fault::kTargetHostLeaves:
-      later([this, target_host] {
-        leaving_ = target_host;
-        left_at_ = time_.Now();
-        Find(target_host)->Leave();
-      });
-      return;
+      return later([this, target_host] { LeaveLater(target_host); });
     case Fault::kCallerGone:
-      later([this] {
-        for (const auto& [exchange, attempt] : exchanges_) {
-          if (attempt->id != watched_ || attempt->answered) continue;
-          attempt->abandoned = true;
-          Find("entry")->entry().OnAbandoned(exchange);
-          return;
-        }
-      });
-      return;
+      return later([this] { AbandonWatched(); });
     default:
-      StrikeNetwork();
-      StrikeTarget();
+      StrikeNetwork(fault);
+      StrikeTarget(fault);
+  }
+}
+
+void World::Withdraw() {
+  withdrawn_at_ = std::min(withdrawn_at_, time_.Now());
+  time_.At(time_.Now(), [this] {
+    Publish([](Json& c) { c["keys"]["coopers"]["withdrawn"] = true; });
+  });
+}
+
+/// A paused process begins to leave when it resumes.
+void World::LeaveLater(const std::string& host) {
+  Node* node = Find(host);
+  if (node == nullptr) return;
+  node->time().At(time_.Now(), [this, host, node] {
+    if (!leaving_.emplace(host, time_.Now()).second) return;
+    node->Leave();
+  });
+}
+
+void World::AbandonWatched() {
+  Node* node = Find("entry");
+  if (node == nullptr) return;
+  for (const auto& [exchange, attempt] : exchanges_) {
+    if (attempt->id != watched_ || attempt->answered) continue;
+    attempt->abandoned = true;
+    node->time().At(time_.Now(), [node, exchange = exchange] {
+      node->entry().OnAbandoned(exchange);
+    });
+    return;
   }
 }
 
-void World::StrikeNetwork() {
-  switch (fault_) {
+void World::StrikeNetwork(Fault fault) {
+  switch (fault) {
     case Fault::kLinkReset:
       time_.At(time_.Now(), [this] {
         std::vector<LinkId> all;
@@ -149,29 +185,17 @@
       return;
     case Fault::kLinkSilent:
       for (auto& [id, link] : links_) link.silent = true;
-      time_.At(time_.Now() + kSilenceBound, [this] {
-        std::vector<LinkId> silent;
-        for (const auto& [id, link] : links_) {
-          if (link.silent) silent.push_back(id);
-        }
-        for (const LinkId link : silent) CloseLink(link);
-      });
-      return;
+      return CloseAfterSilence([](const Link& link) { return link.silent; });
     case Fault::kPartitionOneWay:
     case Fault::kPartition:
+      // A cut in both directions includes one that is there already.
+      one_way_ =
+          fault == Fault::kPartitionOneWay && (!partitioned_ || one_way_);
       partitioned_ = true;
-      one_way_ = fault_ == Fault::kPartitionOneWay;
-      time_.At(time_.Now() + kSilenceBound, [this] {
-        std::vector<LinkId> crossing;
-        for (const auto& [id, link] : links_) {
-          if (IsCut(link.from, link.to) || IsCut(link.to, link.from)) {
-            crossing.push_back(id);
-          }
-        }
-        for (const LinkId link : crossing) CloseLink(link);
-      });
       time_.At(time_.Now() + kFaultLasts, [this] { partitioned_ = false; });
-      return;
+      return CloseAfterSilence([this](const Link& link) {
+        return IsCut(link.from, link.to) || IsCut(link.to, link.from);
+      });
     case Fault::kDuplicateDelivery:
       duplicate_ = true;
       return;
@@ -183,29 +207,26 @@
   }
 }
 
-void World::StrikeTarget() {
-  const std::set<std::string> hosts = {"one", "two"};
-  switch (fault_) {
-    case Fault::kTargetSlow:
-    case Fault::kLateAnswer:
-      slow_ = hosts;
-      break;
-    case Fault::kTargetShedding:
-      shedding_ = hosts;
-      break;
-    case Fault::kTargetCold:
-      cold_ = hosts;
-      break;
-    default:
-      return;
-  }
-  time_.At(time_.Now() + kFaultLasts, [this] {
-    slow_.clear();
-    shedding_.clear();
-    cold_.clear();
+void World::CloseAfterSilence(const std::function<bool(const Link&)>& dead) {
+  time_.At(time_.Now() + kSilenceBound, [this, dead] {
+    std::vector<LinkId> silent;
+    for (const auto& [id, link] : links_) {
+      if (dead(link)) silent.push_back(id);
+    }
+    for (const LinkId link : silent) CloseLink(link);
   });
 }
 
+void World::StrikeTarget(Fault fault) {
+  const auto strike = [this](std::set<std::string>& hosts) {
+    hosts = {"one", "two"};
+    time_.At(time_.Now() + kFaultLasts, [&hosts] { hosts.clear(); });
+  };
+  if (fault == Fault::kTargetSlow || fault == Fault::kLateAnswer) strike(slow_);
+  if (fault == Fault::kTargetShedding) strike(shedding_);
+  if (fault == Fault::kTargetCold) strike(cold_);
+}
+
 // ----- Links
 
 bool World::IsCut(const std::string& from, const std::string& to) const {
@@ -369,7 +390,8 @@
   Send("entry", "/deposits", ticket);
   time_.RunUntil(time_.Now() + kTimeout + milliseconds(100));
   Repeat("/deposits", ticket, kRepeats);
-  time_.RunUntil(time_.Now() + seconds(5));
+  // Each fault ends, and the rate is handed over after a restart.
+  time_.RunUntil(time_.Now() + seconds(3 + 2 * faults_.size()));
   for (const auto& [name, domain] : domain_of_) {
     Send(name, "/stock", {}).probe = true;
   }
--- a/tests/matrix/world.h
+++ b/tests/matrix/world.h
@@ -113,17 +113,30 @@
   std::uint64_t last_handle_ = 0;
 };
 
+/// A fault and the step at which it strikes.
+struct PlannedFault {
+  Step step;
+  Fault fault;
+  /// Strikes so long after the fault before it if its step is not reached by
+  /// then: the first fault can end the request.
+  Duration at_latest{};
+};
+
 /// Three daemons, their targets and one caller, in virtual time.
 class World {
  public:
-  World(Step step, Fault fault, std::uint64_t seed);
+  /// The faults strike in order.
+  World(std::vector<PlannedFault> faults, std::uint64_t seed);
 
-  /// Sends a lookup and a deposit, strikes with the fault at the step of the
+  /// Sends a lookup and a deposit, strikes with the faults at the steps of the
   /// deposit or, with `lookup`, of the lookup, lets the caller repeat, and runs
   /// to the end.
   void Run(bool lookup);
 
-  bool struck() const { return struck_; }
+  /// Whether all faults struck.
+  bool struck() const { return next_fault_ == faults_.size(); }
+  /// Whether all of them struck at their steps, none at its latest time.
+  bool struck_at_steps() const { return at_steps_ == faults_.size(); }
   /// What does not hold, one line each.
   std::vector<std::string> Violations() const;
 
@@ -138,9 +151,16 @@
   };
 
   void Reach(Step step, const std::string& host, const std::string& attempt);
-  void Strike(const std::string& host);
-  void StrikeNetwork();
-  void StrikeTarget();
+  void StrikeNext(const std::string& host);
+  void Strike(Fault fault, const std::string& host);
+  void StrikeNetwork(Fault fault);
+  void StrikeTarget(Fault fault);
+  void Withdraw();
+  void LeaveLater(const std::string& host);
+  void AbandonWatched();
+  void CloseAfterSilence(const std::function<bool(const Link&)>& dead);
+  bool Has(Fault fault) const;
+  bool HasOnly(const std::set<Fault>& faults) const;
   void Kill(const std::string& host);
   void Restart(const std::string& host);
   void Publish(const std::function<void(nlohmann::json&)>& change);
@@ -156,8 +176,9 @@
   void Repeat(const std::string& path, const std::string& ticket, int left);
   void Flood(const std::string& host);
 
-  Step step_;
-  Fault fault_;
+  std::vector<PlannedFault> faults_;
+  std::size_t next_fault_ = 0;
+  std::size_t at_steps_ = 0;
   VirtualTime time_;
   std::uint64_t last_incarnation_;
   LinkId last_link_ = 0;
@@ -172,7 +193,6 @@
   std::vector<Execution> executions_;
   std::map<std::string, int> calls_;  ///< Sent for each attempt.
   std::string watched_;               ///< Attempt whose steps count.
-  bool struck_ = false;
   bool one_way_ = false;
   bool partitioned_ = false;
   std::set<std::string> slow_;
@@ -180,8 +200,7 @@
   std::set<std::string> cold_;
   bool duplicate_ = false;
   bool reorder_ = false;
-  std::string leaving_;
-  Instant left_at_{};
+  std::map<std::string, Instant> leaving_;  ///< Host to when it began.
   Instant withdrawn_at_ = Instant::max();
   Instant flood_began_{};
 };
