Keep the order of shedding between routes to one service

The entry gate admits a request below the level of its organisation if one of lower importance was admitted on the same route within 20 ms. Importance belongs to the route, so no route has two kinds of requests, and the rule never held between deposits and lookups.

The gate now remembers by service, for the services that it knows behind a route, when each importance was last admitted. The new test shedding_order lets lookups and deposits of two organisations compete at one full target, through the request path of a daemon in virtual time: a deposit must not be refused while a lookup is there that is admitted afterwards.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -21,7 +21,7 @@
 endfunction()
 
 file(GLOB core_tests CONFIGURE_DEPENDS tests/*_test.cpp)
-list(FILTER core_tests EXCLUDE REGEX "(fault_matrix|fault_pairs|peer_calls)_test")
+list(FILTER core_tests EXCLUDE REGEX "(fault_matrix|fault_pairs|peer_calls|shedding_order)_test")
 foreach(source ${core_tests})
   lentilcross_add_test(${source})
 endforeach()
@@ -37,6 +37,7 @@
 lentilcross_add_test(tests/fault_matrix_test.cpp lentilcross_matrix)
 lentilcross_add_test(tests/fault_pairs_test.cpp lentilcross_matrix)
 lentilcross_add_test(tests/peer_calls_test.cpp lentilcross_pipeline)
+lentilcross_add_test(tests/shedding_order_test.cpp lentilcross_matrix)
 
 if(TARGET lentilcross_daemon)
   # Fakes and running daemons that these tests share.
--- a/include/lentilcross/shedding.h
+++ b/include/lentilcross/shedding.h
@@ -19,8 +19,8 @@
 
 /// Refuses requests at entry that would be refused by a service behind their
 /// route. Learns the services behind a route, and their levels for each
-/// organisation, from replies. Never refuses a request while it admits requests
-/// of lower importance on the same route.
+/// organisation, from replies. Never refuses a request on behalf of a service
+/// while it admits requests of lower importance, on any route, to that service.
 class EntryGate {
  public:
   struct Init {
@@ -68,16 +68,22 @@
       return key.route.value() ^ (key.organisation.value() * 31);
     }
   };
-  /// When requests of each importance were last admitted on a route.
+  /// When requests of each importance were last admitted to a service.
   using AdmittedAt = std::array<Instant, kImportanceCount>;
   static bool LowerAdmitted(const AdmittedAt& admitted, Importance importance,
                             Instant now);
   double Current(const Level& level, Instant now) const;
+  /// A service states a level above the rank of the request, and no request of
+  /// lower importance was admitted to it lately.
+  bool Refuses(const Key& key, Importance importance, const RequestId& request,
+               Instant now) const;
+  void RecordAdmitted(RouteId route, Importance importance, Instant now);
 
   Init init_;
   Stats stats_;
   std::unordered_map<Key, std::vector<Level>, KeyHash> levels_;
-  std::unordered_map<RouteId, AdmittedAt> admitted_;
+  std::unordered_map<RouteId, std::vector<ServiceId>> services_;
+  std::unordered_map<ServiceId, AdmittedAt> admitted_;
 };
 
 }  // namespace lentilcross
--- a/src/shedding.cpp
+++ b/src/shedding.cpp
@@ -62,26 +62,48 @@
   });
 }
 
+bool EntryGate::Refuses(const Key& key, Importance importance,
+                        const RequestId& request, Instant now) const {
+  const auto known = levels_.find(key);
+  if (known == levels_.end()) return false;
+  const std::uint32_t rank = RankOf(importance, request);
+  return std::any_of(
+      known->second.begin(), known->second.end(), [&](const Level& level) {
+        if (rank >= static_cast<std::uint32_t>(Current(level, now))) {
+          return false;
+        }
+        const auto admitted = admitted_.find(level.service);
+        return admitted == admitted_.end() ||
+               !LowerAdmitted(admitted->second, importance, now);
+      });
+}
+
+void EntryGate::RecordAdmitted(RouteId route, Importance importance,
+                               Instant now) {
+  ++stats_.admitted;
+  const auto services = services_.find(route);
+  if (services == services_.end()) return;
+  for (const ServiceId service : services->second) {
+    admitted_[service][static_cast<std::size_t>(importance)] = now;
+  }
+}
+
 EntryGate::Verdict EntryGate::Admit(RouteId route, OrganisationId organisation,
                                     Importance importance,
                                     const RequestId& request, Instant now,
                                     Random& random) {
-  const std::uint32_t refuse_below = level(route, organisation, now);
-  AdmittedAt& admitted = admitted_[route];
-  const bool ranks = RankOf(importance, request) >= refuse_below;
-  if (ranks || LowerAdmitted(admitted, importance, now)) {
-    admitted[static_cast<std::size_t>(importance)] = now;
-    ++stats_.admitted;
+  if (!Refuses({route, organisation}, importance, request, now)) {
+    RecordAdmitted(route, importance, now);
     return {};
   }
   // A probe of lower importance could run while a request of the level's
   // importance is refused.
+  const std::uint32_t refuse_below = level(route, organisation, now);
   const bool marginal =
       static_cast<std::uint32_t>(importance) == refuse_below >> kRankHashBits;
   std::uniform_real_distribution<double> uniform(0, 1);
   if (marginal && uniform(random) < init_.probe_fraction) {
-    admitted[static_cast<std::size_t>(importance)] = now;
-    ++stats_.admitted;
+    RecordAdmitted(route, importance, now);
     ++stats_.probes;
     return {};
   }
@@ -94,7 +116,13 @@
                         const std::vector<ServiceLevel>& levels, Instant now) {
   if (levels.empty()) return;
   std::vector<Level>& known = levels_[{route, organisation}];
+  std::vector<ServiceId>& services = services_[route];
   for (const ServiceLevel& stated : levels) {
+    const bool listed = std::find(services.begin(), services.end(),
+                                  stated.service) != services.end();
+    if (!listed && services.size() < kMaxServices) {
+      services.push_back(stated.service);
+    }
     auto level = std::find_if(
         known.begin(), known.end(),
         [&](const Level& entry) { return entry.service == stated.service; });
--- a/tests/shedding_test.cpp
+++ b/tests/shedding_test.cpp
@@ -101,6 +101,24 @@
   BOOST_TEST(Admitted(Importance::kCritical, kStart + milliseconds(200)) < 100);
 }
 
+// Guards against a deposit that is refused on behalf of a service while lookups
+// on another route are admitted to the same service; importance belongs to the
+// route, so two kinds of requests never share one.
+BOOST_FIXTURE_TEST_CASE(routes_to_one_service_share_its_order, Fixture) {
+  const RouteId lookups(5);
+  const RouteId elsewhere(6);
+  const OrganisationId other(9);
+  gate.OnReply(kRoute, kOrganisation, {{kService, ~0U}}, kStart);
+  gate.OnReply(lookups, other, {{kService, 0}}, kStart);
+  gate.OnReply(elsewhere, other, {{ServiceId(8), 0}}, kStart);
+  gate.Admit(elsewhere, other, Importance::kLookup, {}, kStart, random);
+  BOOST_TEST(Admitted(Importance::kCritical, kStart) < 100);
+  gate.Admit(lookups, other, Importance::kLookup, {}, kStart, random);
+  BOOST_TEST(Admitted(Importance::kCritical, kStart + milliseconds(10)) ==
+             1000);
+  BOOST_TEST(Admitted(Importance::kCritical, kStart + milliseconds(200)) < 100);
+}
+
 // Guards against callers that all come back at the same moment.
 BOOST_FIXTURE_TEST_CASE(refusals_say_when_to_retry_with_jitter, Fixture) {
   gate.OnReply(kRoute, kOrganisation, {{kService, kAllLookups}}, kStart);
