--- a/tests/matrix/world.cpp
+++ b/tests/matrix/world.cpp
@@ -1,13 +1,10 @@
 #include "world.h"
 
 #include <algorithm>
-#include <boost/leaf/handle_errors.hpp>
-#include <boost/leaf/pred.hpp>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <utility>
 
-#include "lentilcross/keys.h"
+#include "documents.h"
 
 namespace lentilcross::matrix {
 namespace {
@@ -18,89 +15,14 @@
 constexpr Duration kDelay = milliseconds(1);
 constexpr Duration kSilenceBound = milliseconds(300);
 constexpr Duration kFaultLasts = milliseconds(1500);
-constexpr Duration kTimeout = milliseconds(800);
+constexpr Duration kTimeout = kRouteTimeout;
 constexpr int kRepeats = 2;
 constexpr int kFloodRequests = 25;  ///< At each of the three hosts.
-constexpr std::string_view kKey = "key of coopers";
-constexpr std::string_view kFloodKey = "key of flood";
-
-using Json = nlohmann::json;
-
-std::string Hex(const Sha256Digest& digest) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (const std::uint8_t byte : digest) {
-    text += kDigits[byte >> 4];
-    text += kDigits[byte & 15];
-  }
-  return text;
-}
-
-void AddService(Json& document, const std::string& name,
-                const std::string& importance, bool idempotent) {
-  for (const std::string host : {"one", "two"}) {
-    document["services"][name]["targets"].push_back(
-        {{"name", name + "-" + host}, {"host", host}});
-  }
-  document["routes"]["/" + name] = {{"service", name},
-                                    {"importance", importance},
-                                    {"idempotent", idempotent},
-                                    {"open", false},
-                                    {"timeout_ms", kTimeout / milliseconds(1)}};
-}
-
-void AddOrganisation(Json& document, const std::string& name, double rate,
-                     double burst, std::string_view key) {
-  document["organisations"][name] = {
-      {"rate", rate}, {"burst", burst}, {"weight", 1}};
-  document["keys"][name] = {{"organisation", name},
-                            {"sha256", Hex(Sha256(key))},
-                            {"withdrawn", false}};
-}
-
-Json Preset(int extra_attempts, int queue_ms, const std::string& refuse_below) {
-  return {{"rate_factor", 1.0},
-          {"extra_attempts", extra_attempts},
-          {"queue_ms", queue_ms},
-          {"refuse_importance_below", refuse_below}};
-}
-
-Json FirstDocument() {
-  Json document = {{"version", 1}, {"preset", "ordinary"}};
-  int port = 7101;
-  for (const std::string host : {"entry", "one", "two"}) {
-    const std::string domain = host == "two" ? "domain-2" : "domain-1";
-    document["failure_domains"][domain] = {{"region", "region"}};
-    document["hosts"][host] = {{"failure_domain", domain},
-                               {"peer", "127.0.0.1:" + std::to_string(port++)}};
-  }
-  AddService(document, "stock", "lookup", true);
-  AddService(document, "prices", "lookup", true);
-  AddService(document, "deposits", "critical", false);
-  AddService(document, "ledger", "critical", false);
-  AddOrganisation(document, "coopers", 100, 50, kKey);
-  AddOrganisation(document, "flood", 5, 4, kFloodKey);
-  document["presets"]["ordinary"] = Preset(2, 50, "background");
-  document["presets"]["peak"] = Preset(0, 5, "standard");
-  return document;
-}
-
-std::shared_ptr<const Configuration> ParseDocument(const Json& document) {
-  return boost::leaf::try_handle_all(
-      [&] { return Configuration::Parse(document.dump()); },
-      [](const Findings& findings) -> std::shared_ptr<const Configuration> {
-        throw std::logic_error(findings.Format("configuration"));
-      },
-      []() -> std::shared_ptr<const Configuration> {
-        throw std::logic_error("configuration");
-      });
-}
-
 }  // namespace
 
-World::World(Step step, Fault fault, std::uint64_t seed)
-    : step_(step), fault_(fault), last_incarnation_(seed * 1000) {
-  document_ = FirstDocument();
+World::World(std::vector<PlannedFault> faults, std::uint64_t seed)
+    : faults_(std::move(faults)), last_incarnation_(seed * 1000) {
+  document_ = RequestDocument();
   configuration_ = ParseDocument(document_);
   domain_of_ = {
       {"entry", "domain-1"}, {"one", "domain-1"}, {"two", "domain-2"}};
@@ -124,7 +46,8 @@
   for (const auto& [id, link] : links_) {
     if (link.from == host || link.to == host) broken.push_back(id);
   }
-  nodes_.erase(host);
+  if (nodes_.erase(host) == 0) return;
+  leaving_.erase(host);
   for (const LinkId link : broken) CloseLink(link);
   for (const auto& attempt : attempts_) {
     if (!attempt->answered && attempt->id.rfind(host + "#", 0) == 0) {
@@ -156,14 +79,37 @@
 
 void World::Reach(Step step, const std::string& host,
                   const std::string& attempt) {
-  if (struck_ || watched_.empty() || attempt != watched_ || step != step_) {
-    return;
+  if (watched_.empty() || attempt != watched_) return;
+  while (!struck() && faults_[next_fault_].step == step) {
+    ++at_steps_;
+    StrikeNext(host);
   }
-  struck_ = true;
-  Strike(host);
 }
 
-void World::Strike(const std::string& host) {
+void World::StrikeNext(const std::string& host) {
+  const Fault fault = faults_[next_fault_++].fault;
+  const std::size_t next = next_fault_;
+  Strike(fault, host);
+  if (struck()) return;
+  time_.At(time_.Now() + faults_[next].at_latest, [this, host, next] {
+    if (next_fault_ == next) StrikeNext(host);
+  });
+}
+
+bool World::Has(Fault fault) const {
+  return std::any_of(
+      faults_.begin(), faults_.end(),
+      [fault](const PlannedFault& planned) { return planned.fault == fault; });
+}
+
+bool World::HasOnly(const std::set<Fault>& faults) const {
+  return std::all_of(faults_.begin(), faults_.end(),
+                     [&faults](const PlannedFault& planned) {
+                       return faults.count(planned.fault) != 0;
+                     });
+}
+
+void World::Strike(Fault fault, const std::string& host) {
   // The host in front of the target is where the step happened, or the one that
   // the first target of the service is on.
   const std::string target_host = host == "entry" ? "one" : host;
@@ -171,53 +117,65 @@
   const auto later = [this](std::function<void()> work) {
     time_.At(time_.Now(), std::move(work));
   };
-  switch (fault_) {
+  const auto pause = [this](const std::string& name) {
+    Node* node = Find(name);
+    if (node != nullptr) node->time().PauseUntil(time_.Now() + kFaultLasts);
+  };
+  switch (fault) {
     case Fault::kEntryKilled:
-      later([this] { Kill("entry"); });
-      return;
+      return later([this] { Kill("entry"); });
     case Fault::kTargetHostKilled:
-      later([this, target_host] { Kill(target_host); });
-      return;
+      return later([this, target_host] { Kill(target_host); });
     case Fault::kEntryPaused:
-      Find("entry")->time().PauseUntil(time_.Now() + kFaultLasts);
-      return;
+      return pause("entry");
     case Fault::kTargetHostPaused:
-      Find(target_host)->time().PauseUntil(time_.Now() + kFaultLasts);
-      return;
+      return pause(target_host);
     case Fault::kKeyWithdrawn:
-      withdrawn_at_ = time_.Now();
-      later([this] {
-        Publish([](Json& c) { c["keys"]["coopers"]["withdrawn"] = true; });
-      });
-      return;
+      return Withdraw();
     case Fault::kPresetSwitched:
-      later([this] { Publish([](Json& c) { c["preset"] = "peak"; }); });
-      return;
+      return later([this] { Publish([](Json& c) { c["preset"] = "peak"; }); });
     case Fault::kTargetHostLeaves:
-      later([this, target_host] {
-        leaving_ = target_host;
-        left_at_ = time_.Now();
-        Find(target_host)->Leave();
-      });
-      return;
+      return later([this, target_host] { LeaveLater(target_host); });
     case Fault::kCallerGone:
-      later([this] {
-        for (const auto& [exchange, attempt] : exchanges_) {
-          if (attempt->id != watched_ || attempt->answered) continue;
-          attempt->abandoned = true;
-          Find("entry")->entry().OnAbandoned(exchange);
-          return;
-        }
-      });
-      return;
+      return later([this] { AbandonWatched(); });
     default:
-      StrikeNetwork();
-      StrikeTarget();
+      StrikeNetwork(fault);
+      StrikeTarget(fault);
   }
 }
 
-void World::StrikeNetwork() {
-  switch (fault_) {
+void World::Withdraw() {
+  withdrawn_at_ = std::min(withdrawn_at_, time_.Now());
+  time_.At(time_.Now(), [this] {
+    Publish([](Json& c) { c["keys"]["coopers"]["withdrawn"] = true; });
+  });
+}
+
+/// A paused process begins to leave when it resumes.
+void World::LeaveLater(const std::string& host) {
+  Node* node = Find(host);
+  if (node == nullptr) return;
+  node->time().At(time_.Now(), [this, host, node] {
+    if (!leaving_.emplace(host, time_.Now()).second) return;
+    node->Leave();
+  });
+}
+
+void World::AbandonWatched() {
+  Node* node = Find("entry");
+  if (node == nullptr) return;
+  for (const auto& [exchange, attempt] : exchanges_) {
+    if (attempt->id != watched_ || attempt->answered) continue;
+    attempt->abandoned = true;
+    node->time().At(time_.Now(), [node, exchange = exchange] {
+      node->entry().OnAbandoned(exchange);
+    });
+    return;
+  }
+}
+
+void World::StrikeNetwork(Fault fault) {
+  switch (fault) {
     case Fault::kLinkReset:
       time_.At(time_.Now(), [this] {
         std::vector<LinkId> all;
@@ -227,29 +185,17 @@
       return;
     case Fault::kLinkSilent:
       for (auto& [id, link] : links_) link.silent = true;
-      time_.At(time_.Now() + kSilenceBound, [this] {
-        std::vector<LinkId> silent;
-        for (const auto& [id, link] : links_) {
-          if (link.silent) silent.push_back(id);
-        }
-        for (const LinkId link : silent) CloseLink(link);
-      });
-      return;
+      return CloseAfterSilence([](const Link& link) { return link.silent; });
     case Fault::kPartitionOneWay:
     case Fault::kPartition:
+      // A cut in both directions includes one that is there already.
+      one_way_ =
+          fault == Fault::kPartitionOneWay && (!partitioned_ || one_way_);
       partitioned_ = true;
-      one_way_ = fault_ == Fault::kPartitionOneWay;
-      time_.At(time_.Now() + kSilenceBound, [this] {
-        std::vector<LinkId> crossing;
-        for (const auto& [id, link] : links_) {
-          if (IsCut(link.from, link.to) || IsCut(link.to, link.from)) {
-            crossing.push_back(id);
-          }
-        }
-        for (const LinkId link : crossing) CloseLink(link);
-      });
       time_.At(time_.Now() + kFaultLasts, [this] { partitioned_ = false; });
-      return;
+      return CloseAfterSilence([this](const Link& link) {
+        return IsCut(link.from, link.to) || IsCut(link.to, link.from);
+      });
     case Fault::kDuplicateDelivery:
       duplicate_ = true;
       return;
@@ -261,29 +207,26 @@
   }
 }
 
-void World::StrikeTarget() {
-  const std::set<std::string> hosts = {"one", "two"};
-  switch (fault_) {
-    case Fault::kTargetSlow:
-    case Fault::kLateAnswer:
-      slow_ = hosts;
-      break;
-    case Fault::kTargetShedding:
-      shedding_ = hosts;
-      break;
-    case Fault::kTargetCold:
-      cold_ = hosts;
-      break;
-    default:
-      return;
-  }
-  time_.At(time_.Now() + kFaultLasts, [this] {
-    slow_.clear();
-    shedding_.clear();
-    cold_.clear();
+void World::CloseAfterSilence(const std::function<bool(const Link&)>& dead) {
+  time_.At(time_.Now() + kSilenceBound, [this, dead] {
+    std::vector<LinkId> silent;
+    for (const auto& [id, link] : links_) {
+      if (dead(link)) silent.push_back(id);
+    }
+    for (const LinkId link : silent) CloseLink(link);
   });
 }
 
+void World::StrikeTarget(Fault fault) {
+  const auto strike = [this](std::set<std::string>& hosts) {
+    hosts = {"one", "two"};
+    time_.At(time_.Now() + kFaultLasts, [&hosts] { hosts.clear(); });
+  };
+  if (fault == Fault::kTargetSlow || fault == Fault::kLateAnswer) strike(slow_);
+  if (fault == Fault::kTargetShedding) strike(shedding_);
+  if (fault == Fault::kTargetCold) strike(cold_);
+}
+
 // ----- Links
 
 bool World::IsCut(const std::string& from, const std::string& to) const {
@@ -447,7 +390,8 @@
   Send("entry", "/deposits", ticket);
   time_.RunUntil(time_.Now() + kTimeout + milliseconds(100));
   Repeat("/deposits", ticket, kRepeats);
-  time_.RunUntil(time_.Now() + seconds(5));
+  // Each fault ends, and the rate is handed over after a restart.
+  time_.RunUntil(time_.Now() + seconds(3 + 2 * faults_.size()));
   for (const auto& [name, domain] : domain_of_) {
     Send(name, "/stock", {}).probe = true;
   }
