Count the bytes sent to peers by message kind

The budget of 3 KB/s of control traffic per daemon could not be compared with anything: the daemon counted messages, but neither their size nor their kind.

lentilcross_peer_sent_bytes_total{kind=...} counts the bytes of each message when it is given to the transport, without the headers of websocket and TCP. A test checks every kind against its name, because the names follow the order of the variant.

--- a/src/daemon_stats.h
+++ b/src/daemon_stats.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "lentilcross/admission.h"
@@ -11,6 +12,7 @@
 #include "lentilcross/error.h"
 #include "lentilcross/findings.h"
 #include "lentilcross/membership.h"
+#include "lentilcross/peer_message.h"
 #include "lentilcross/rate.h"
 #include "lentilcross/retry.h"
 #include "lentilcross/routing.h"
@@ -32,6 +34,8 @@
   std::uint64_t messages_sent = 0;
   std::uint64_t messages_received = 0;
   std::uint64_t queue_full = 0;
+  /// Bytes of messages sent, by the index of the message kind.
+  std::array<std::uint64_t, std::variant_size_v<PeerMessage>> bytes_sent{};
 };
 
 struct HttpFrontStats {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -1,7 +1,9 @@
 #include "metrics.h"
 
+#include <array>
 #include <nlohmann/json.hpp>
 #include <string_view>
+#include <variant>
 
 namespace lentilcross {
 namespace {
@@ -211,6 +213,23 @@
               peers.queue_full);
 }
 
+// Names of the peer message kinds, in the order of `PeerMessage`.
+constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
+    kMessageKinds = {
+        "hello",        "proof",           "call",         "reply",
+        "cancel",       "cancel-ack",      "digest",       "config-request",
+        "config-delta", "config-snapshot", "loan-request", "loan-grant",
+        "loan-return",  "leave",           "ping",         "pong"};
+
+void WritePeerBytes(Writer& out, const PeerLinkStats& peers) {
+  out.Head("peer_sent_bytes_total", "counter",
+           "Bytes of messages sent, without websocket and TCP headers.");
+  for (std::size_t i = 0; i < kMessageKinds.size(); ++i) {
+    out.Sample("peer_sent_bytes_total", Label("kind", kMessageKinds[i]),
+               std::to_string(peers.bytes_sent[i]));
+  }
+}
+
 void WriteFront(Writer& out, const std::string& name,
                 const HttpFrontStats& front) {
   out.Counter(name + "_connections_total", "Connections.", front.connections);
@@ -301,6 +320,7 @@
   WriteRouting(out, stats);
   WriteConfiguration(out, stats);
   WritePeers(out, stats.peers);
+  WritePeerBytes(out, stats.peers);
   WriteFront(out, "caller_listener", stats.caller);
   WriteFront(out, "onward_listener", stats.onward);
   WriteTargetClient(out, stats.target_client);
--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -176,6 +176,7 @@
       return false;
     }
     ++stats.messages_sent;
+    stats.bytes_sent[message.index()] += bytes.size();
     return true;
   }
 
--- a/tests/daemon/operator_test.cpp
+++ b/tests/daemon/operator_test.cpp
@@ -109,6 +109,39 @@
   BOOST_TEST(has("lentilcross_configuration_version 12.0"));
 }
 
+// Guards against bytes that are counted under the name of another kind.
+BOOST_AUTO_TEST_CASE(sent_bytes_carry_the_message_kind) {
+  DaemonStats stats = SomeStats();
+  const std::vector<std::pair<PeerMessage, std::string>> kinds = {
+      {Hello{}, "hello"},
+      {Proof{}, "proof"},
+      {Call{}, "call"},
+      {Reply{}, "reply"},
+      {Cancel{}, "cancel"},
+      {CancelAck{}, "cancel-ack"},
+      {Digest{}, "digest"},
+      {ConfigRequest{}, "config-request"},
+      {ConfigDelta{}, "config-delta"},
+      {ConfigSnapshot{}, "config-snapshot"},
+      {LoanRequest{}, "loan-request"},
+      {LoanGrant{}, "loan-grant"},
+      {LoanReturn{}, "loan-return"},
+      {Leave{}, "leave"},
+      {Ping{}, "ping"},
+      {Pong{}, "pong"}};
+  BOOST_TEST(kinds.size() == stats.peers.bytes_sent.size());
+  for (const auto& [message, name] : kinds) {
+    stats.peers.bytes_sent[message.index()] = 100 + message.index();
+  }
+  const std::string text = MetricsText(stats, {});
+  for (const auto& [message, name] : kinds) {
+    const std::string line = "\nlentilcross_peer_sent_bytes_total{kind=\"" +
+                             name + "\"} " +
+                             std::to_string(100 + message.index()) + "\n";
+    BOOST_TEST(text.find(line) != std::string::npos, name);
+  }
+}
+
 // Guards against a summary whose quantiles are far off or out of order.
 BOOST_AUTO_TEST_CASE(latency_quantiles_are_close) {
   LatencySummary summary;
