Measure goodput, recovery and cost of real processes

The scripted scenarios checked promises under a surge, silent links and a domain that is cut off, but recorded no goodput, recovery time, CPU time or traffic.

The scenario language gets "measure" statements that print one JSON object a line, loads that offer a multiple of the capacity of a bottleneck (with endless repeats or none), marks for begin and end of a trigger, and the slots of either deployment.

Expectations for the retry budget and for goodput, and targets that refuse everything, are for the scenarios that follow.

--- a/cmake/scenarios.cmake
+++ b/cmake/scenarios.cmake
@@ -8,6 +8,8 @@
   tools/scenario/faults.cpp
   tools/scenario/fleet.cpp
   tools/scenario/main.cpp
+  tools/scenario/measures.cpp
+  tools/scenario/usage.cpp
   tools/scenario/runner.cpp
   tools/scenario/script.cpp
   tools/scenario/waits.cpp)
--- a/scripts/plot.sh
+++ b/scripts/plot.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Draws docs/plots from the output of scripts/bench.sh --series:
+# Draws docs/plots from the output of scripts/bench.sh --no-processes --series:
 #   scripts/plot.sh FILE...
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/src/command_load.cpp
+++ b/src/command_load.cpp
@@ -138,6 +138,24 @@
   return static_cast<bool>(file.flush());
 }
 
+// One line "BEGUN_US ENDED_US OK ORGANISATION" per finished request, in
+// microseconds of the monotonic clock.
+bool WriteLifetimes(const cxxopts::ParseResult& arguments,
+                    const LoadCounts& counts) {
+  if (arguments.count("lifetimes") == 0) return true;
+  std::ofstream file(arguments["lifetimes"].as<std::string>());
+  const auto microseconds = [](Instant instant) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               instant.time_since_epoch())
+        .count();
+  };
+  for (const LoadCounts::Lifetime& request : counts.lifetimes) {
+    file << microseconds(request.begun) << " " << microseconds(request.ended)
+         << " " << (request.ok ? 1 : 0) << " " << request.organisation << "\n";
+  }
+  return static_cast<bool>(file.flush());
+}
+
 void AddOptions(cxxopts::Options& options) {
   const auto number = [](const char* value) {
     return cxxopts::value<unsigned>()->default_value(value);
@@ -159,6 +177,8 @@
       "echo", "responses must contain the request's id")(
       "records", "file for one line per request, to compare with executions",
       cxxopts::value<std::string>())(
+      "lifetimes", "file for one line per request: begin, end, result",
+      cxxopts::value<std::string>())(
       "expect", "JSON pointer into the report, <=, >=, =, < or >, and a number",
       cxxopts::value<Strings>());
 }
@@ -189,6 +209,9 @@
   if (!WriteRecords(*arguments, counts)) {
     return Unusable("--records: cannot be written");
   }
+  if (!WriteLifetimes(*arguments, counts)) {
+    return Unusable("--lifetimes: cannot be written");
+  }
   Json report = LoadReport(std::move(counts), elapsed_s);
   report["seed"] = plan.seed;
   const bool held = CheckExpectations(expectations, texts, &report);
--- a/src/load_report.h
+++ b/src/load_report.h
@@ -57,7 +57,17 @@
     std::uint64_t not_run = 0;   ///< Answered with outcome "not-run".
   };
 
+  /// When a request began and ended, by the monotonic clock that all processes
+  /// of the machine share.
+  struct Lifetime {
+    Instant begun{};
+    Instant ended{};
+    std::string organisation;
+    bool ok = false;
+  };
+
   std::vector<Record> records;
+  std::vector<Lifetime> lifetimes;
   std::uint64_t attempts = 0;
   std::uint64_t retries = 0;
   std::uint64_t incomplete = 0;  ///< Successful without the request's id.
--- a/src/load_run.cpp
+++ b/src/load_run.cpp
@@ -212,9 +212,15 @@
                                request.id, request.sent, request.not_run});
   }
 
+  void RecordEnd(const LoadRequest& request, bool ok) {
+    Record(request);
+    counts_.lifetimes.push_back(
+        {request.started, Clock::now(), request.organisation->name, ok});
+  }
+
   void Succeed(const RequestPtr& request, Caller& caller, Instant sent,
                const web::HttpResponse& response) {
-    Record(*request);
+    RecordEnd(*request, true);
     const Instant now = Clock::now();
     if (plan_.expect_echo &&
         response.body.find(request->id) == std::string::npos) {
@@ -245,7 +251,7 @@
       });
       return;
     }
-    Record(*request);
+    RecordEnd(*request, false);
     ++counts_.organisations[request->organisation->name].results[result];
     if (unknown) ++counts_.routes[RouteName(*request->route)].unknown;
   }
--- a/tools/scenario/child.h
+++ b/tools/scenario/child.h
@@ -19,6 +19,7 @@
   Child(Child&& other) noexcept;
   Child& operator=(Child&& other) noexcept;
 
+  pid_t pid() const { return pid_; }
   bool running();
   void Signal(int signal) const;
   /// Exit status, or 128 plus the signal that ended it; empty while it runs.
--- a/tools/scenario/declarations.cpp
+++ b/tools/scenario/declarations.cpp
@@ -17,6 +17,15 @@
   return "";
 }
 
+// A service of the deployment that is measured.
+Failure AddDeployedService(Runner& runner, const Step& step, int slots) {
+  Service& service = runner.fleet.services[step.at(0)];
+  service.slots = slots;
+  service.service_ms = Milliseconds(step.at(1));
+  service.phases = runner.fleet.deployment.phases;
+  return "";
+}
+
 Failure AddOrganisation(Runner& runner, const Step& step) {
   Organisation organisation;
   organisation.rate = std::strtod(step.at(1).c_str(), nullptr);
@@ -39,8 +48,30 @@
        AddOrganisation},
       {"service <new-service> slots <number> time <duration>",
        [](Runner& r, const Step& s) {
-         r.fleet.services[s.at(0)] = {
-             Integer(s.at(1)), Milliseconds(s.at(2)), {}};
+         Service& service = r.fleet.services[s.at(0)];
+         service.slots = Integer(s.at(1));
+         service.service_ms = Milliseconds(s.at(2));
+         return Failure();
+       }},
+      {"service <new-service> slots <number> queue <number> time <duration>",
+       [](Runner& r, const Step& s) {
+         Service& service = r.fleet.services[s.at(0)];
+         service.slots = Integer(s.at(1));
+         service.queue = Integer(s.at(2));
+         service.service_ms = Milliseconds(s.at(3));
+         return Failure();
+       }},
+      {"service <new-service> narrow time <duration>",
+       [](Runner& r, const Step& s) {
+         return AddDeployedService(r, s, r.fleet.deployment.narrow_slots);
+       }},
+      {"service <new-service> wide time <duration>",
+       [](Runner& r, const Step& s) {
+         return AddDeployedService(r, s, r.fleet.deployment.wide_slots);
+       }},
+      {"bottleneck <service>",
+       [](Runner& r, const Step& s) {
+         r.fleet.bottleneck = s.at(0);
          return Failure();
        }},
       {"route <new-route> to <service>",
--- a/tools/scenario/expectations.cpp
+++ b/tools/scenario/expectations.cpp
@@ -88,6 +88,36 @@
   return compared == 0 ? "no call belongs to a record" : List(above);
 }
 
+// Retries of each daemon are at most a tenth of its first attempts, and one per
+// second and service, as `RetryBudget::Init` says. Retries after "draining" are
+// not charged, so this is for scenarios without them.
+Failure RetryBudgetKept(Runner& runner, const Step&) {
+  Failure failure = Settle(runner);
+  if (!failure.empty()) return failure;
+  constexpr double kRatio = 0.1;
+  constexpr double kFloorPerSecond = 1.0;
+  double all = 0;
+  std::vector<std::string> above;
+  for (const Host* host : runner.MemberHosts()) {
+    const std::chrono::duration<double> age =
+        std::chrono::steady_clock::now() - runner.started[host->name];
+    const auto text =
+        Fetch(runner.fleet.Address(*host, Port::kOperator), "/metrics");
+    const double retries = Metric(text.value_or(""), "retries_total");
+    const double first = Metric(text.value_or(""), "first_attempts_total");
+    const double allowed =
+        kRatio * first + kFloorPerSecond * age.count() *
+                             static_cast<double>(runner.fleet.services.size());
+    if (retries > allowed) {
+      above.push_back(host->name + ": " + std::to_string(retries) +
+                      " retries of " + std::to_string(first) + " calls");
+    }
+    all += retries;
+  }
+  // Without a retry the check would prove nothing.
+  return all == 0 ? "no call was retried" : List(above);
+}
+
 Failure ForEachLoad(
     Runner& runner,
     const std::function<void(const Json&, std::vector<std::string>&)>& check) {
@@ -139,6 +169,18 @@
                    report["failures"].dump() + " ok " + report["ok"].dump();
 }
 
+Failure GoodputHolds(Runner& runner, const Step& step) {
+  Failure failure = runner.WaitForLoads();
+  if (!failure.empty()) return failure;
+  const Json& report = *runner.loads[step.at(0)].report;
+  const double offered = report.value("offered", 0.0);
+  const double ok = report.value("ok", 0.0);
+  const double least = std::strtod(step.at(1).c_str(), nullptr);
+  if (offered > 0 && ok >= least * offered) return "";
+  return std::to_string(ok) + " of " + std::to_string(offered) + " " +
+         report["reasons"].dump() + " " + report["failures"].dump();
+}
+
 Failure VersionsNeverBack(Runner& runner, const Step&) {
   runner.ObserveVersions();
   return List(runner.regressions);
@@ -184,10 +226,12 @@
       {"expect no double runs", NoDoubleRuns},
       {"expect not-run answers true", NotRunIsTrue},
       {"expect calls bounded by extra <number>", CallsBounded},
+      {"expect retry budget kept", RetryBudgetKept},
       {"expect rates kept", RatesKept},
       {"expect whole answers", WholeAnswers},
       {"expect no request cut at <host>", NoRequestCut},
       {"expect load <load> <word>", LoadReportHolds},
+      {"expect goodput of <load> at least <number>", GoodputHolds},
       {"expect versions never back", VersionsNeverBack},
       {"expect exit <host> <number>", ExitStatus},
       {"expect not a member <host>", NeverLinked},
--- a/tools/scenario/faults.cpp
+++ b/tools/scenario/faults.cpp
@@ -73,21 +73,39 @@
 
 // ----- Load
 
-Failure StartLoad(Runner& runner, const Step& step) {
-  const double factor = std::strtod(step.at(2).c_str(), nullptr);
+// Distinct request ids in each load of a scenario need distinct seeds.
+constexpr std::uint64_t kSeedsPerScenario = 100;
+
+// `factor` times the rate of each organisation is offered.
+Failure StartLoad(Runner& runner, const Step& step, double factor,
+                  const std::vector<std::string>& repeats,
+                  const std::vector<std::string>& hosts) {
   std::string callers;
-  for (const std::string& name : step.from(4)) {
+  for (const std::string& name : hosts) {
     if (!callers.empty()) callers += ",";
     callers += runner.fleet.Address(runner.fleet.host(name), Port::kCaller);
   }
   const std::string base = runner.work + "/load-" + step.at(0);
-  std::vector<std::string> command = {
-      runner.lentilcross, "load", "--caller", callers, "--keys",
-      runner.work + "/keys.json", "--duration-ms",
-      std::to_string(Milliseconds(step.at(1))), "--timeout-ms", "2500",
-      "--retries", step.at(3), "--echo", "--records", base + ".records",
-      // Distinct request ids in each load of a scenario.
-      "--seed", std::to_string(runner.loads.size() + 1)};
+  const std::uint64_t seed =
+      (runner.seed - 1) * kSeedsPerScenario + runner.loads.size() + 1;
+  std::vector<std::string> command = {runner.lentilcross,
+                                      "load",
+                                      "--caller",
+                                      callers,
+                                      "--keys",
+                                      runner.work + "/keys.json",
+                                      "--duration-ms",
+                                      std::to_string(Milliseconds(step.at(1))),
+                                      "--timeout-ms",
+                                      "2500",
+                                      "--echo",
+                                      "--records",
+                                      base + ".records",
+                                      "--lifetimes",
+                                      base + ".lifetimes",
+                                      "--seed",
+                                      std::to_string(seed)};
+  command.insert(command.end(), repeats.begin(), repeats.end());
   for (const auto& [name, organisation] : runner.fleet.organisations) {
     command.insert(command.end(),
                    {"--organisation",
@@ -104,9 +122,41 @@
   load.process = Child(command, base);
   load.records_path = base + ".records";
   load.report_path = base + ".out";
+  load.lifetimes_path = base + ".lifetimes";
   return "";
 }
 
+Failure LoadOfRate(Runner& runner, const Step& step) {
+  return StartLoad(runner, step, std::strtod(step.at(2).c_str(), nullptr),
+                   {"--retries", step.at(3)}, step.from(4));
+}
+
+// Offers a multiple of the capacity, split like the rates of the organisations.
+Failure LoadOfCapacity(Runner& runner, const Step& step,
+                       const std::vector<std::string>& repeats,
+                       std::size_t first_host) {
+  double sum = 0;
+  for (const auto& [name, organisation] : runner.fleet.organisations) {
+    sum += organisation.rate;
+  }
+  const double offered =
+      std::strtod(step.at(2).c_str(), nullptr) * runner.fleet.Capacity();
+  return StartLoad(runner, step, offered / sum, repeats, step.from(first_host));
+}
+
+Failure LoadWithoutRepeats(Runner& runner, const Step& step) {
+  return LoadOfCapacity(runner, step, {"--retries", "0"}, 3);
+}
+
+Failure LoadWithEndlessRepeats(Runner& runner, const Step& step) {
+  // More than a run has time for.
+  constexpr const char* kEndless = "1000000";
+  return LoadOfCapacity(runner, step,
+                        {"--retries", kEndless, "--retry-delay-ms",
+                         std::to_string(Milliseconds(step.at(3)))},
+                        4);
+}
+
 Failure EndLoads(Runner& runner, const Step&) {
   for (auto& [name, load] : runner.loads) load.process.Signal(SIGTERM);
   return runner.WaitForLoads();
@@ -266,7 +316,12 @@
       {"start", Start},
       {"load <new-load> for <duration> at <number> of rate retries <number> to "
        "<host>...",
-       StartLoad},
+       LoadOfRate},
+      {"load <new-load> for <duration> at <number> of capacity to <host>...",
+       LoadWithoutRepeats},
+      {"load <new-load> for <duration> at <number> of capacity repeats every "
+       "<duration> to <host>...",
+       LoadWithEndlessRepeats},
       {"end loads", EndLoads},
       {"kill <host>", Kill},
       {"pause <host>", Pause},
@@ -294,6 +349,7 @@
       {"withdraw key <organisation>", Withdraw},
       TargetStatement("slow", {{"service_ms", kSlowMs}}),
       TargetStatement("shed", {{"slots", 1}, {"queue", 0}}),
+      TargetStatement("refuse", {{"slots", 0}, {"queue", 0}}),
       TargetStatement("cold", {{"cold_ms", kColdMs}}),
       TargetStatement("drain", {{"draining", true}}),
       TargetStatement("health-lies", {{"misleading_health", true}}),
--- a/tools/scenario/fleet.cpp
+++ b/tools/scenario/fleet.cpp
@@ -30,6 +30,22 @@
 
 }  // namespace
 
+std::optional<Deployment> DeploymentOf(const std::string& name) {
+  if (name == "cedarhoop") return Deployment{name, 60, 10, 2};
+  if (name == "brierley") return Deployment{name, 100, 20, 2};
+  return std::nullopt;
+}
+
+double Fleet::Capacity() const {
+  const Service& service = services.at(bottleneck);
+  const auto targets = std::count_if(
+      hosts.begin(), hosts.end(),
+      [this](const Host& host) { return host.service == bottleneck; });
+  constexpr double kMsPerSecond = 1000;
+  return static_cast<double>(targets) * service.slots * kMsPerSecond /
+         service.service_ms;
+}
+
 const Host& Fleet::host(const std::string& name) const {
   return *std::find_if(hosts.begin(), hosts.end(),
                        [&name](const Host& host) { return host.name == name; });
@@ -127,13 +143,10 @@
     onward.push_back(
         {{"path", path}, {"method", routes.at(path).once ? "POST" : "GET"}});
   }
-  return {{"slots", service.slots},
-          {"service_ms", service.service_ms},
-          {"exponential", true},
-          {"queue", 64},
-          {"cold_ms", 0},
-          {"draining", false},
-          {"misleading_health", false},
+  return {{"slots", service.slots}, {"service_ms", service.service_ms},
+          {"exponential", true},    {"phases", service.phases},
+          {"queue", service.queue}, {"cold_ms", 0},
+          {"draining", false},      {"misleading_health", false},
           {"onward", onward}};
 }
 
--- a/tools/scenario/fleet.h
+++ b/tools/scenario/fleet.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,10 +18,23 @@
   bool outsider = false;  ///< Has another peer key than the fleet.
 };
 
+/// Slots per target of a deployment (section 2.5 of the design).
+struct Deployment {
+  std::string name = "cedarhoop";
+  int wide_slots = 60;
+  int narrow_slots = 10;
+  int phases = 2;  ///< As the fake targets of lentilcross_bench.
+};
+
+/// Empty if there is no deployment of this name.
+std::optional<Deployment> DeploymentOf(const std::string& name);
+
 struct Service {
   int slots = 8;
   int service_ms = 5;
   std::vector<std::string> calls;  ///< Routes called onward.
+  int queue = 64;  ///< Requests that wait for a slot; more are refused.
+  int phases = 1;  ///< Exponential phases of the service time.
 };
 
 struct Route {
@@ -61,6 +75,8 @@
   std::set<std::string> platform_readers;  ///< Empty: all hosts.
   std::string preset;
   int version = 1;
+  Deployment deployment;
+  std::string bottleneck;  ///< Service that limits whole requests.
 
   const Host& host(const std::string& name) const;
   std::string Address(const Host& host, Port port) const;
@@ -72,6 +88,8 @@
   nlohmann::json Behaviour(const Host& host) const;
   /// An idempotent route; empty if there is none.
   std::string LookupRoute() const;
+  /// Whole requests per second that the slots of the bottleneck can finish.
+  double Capacity() const;
 };
 
 }  // namespace lentilcross::scenario
--- a/tools/scenario/main.cpp
+++ b/tools/scenario/main.cpp
@@ -58,7 +58,8 @@
 
 std::vector<Statement> AllStatements() {
   std::vector<Statement> all;
-  for (auto group : {Declarations(), Faults(), Waits(), Expectations()}) {
+  for (auto group :
+       {Declarations(), Faults(), Waits(), Expectations(), Measures()}) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
@@ -93,7 +94,8 @@
   return mkdtemp(name.data()) == nullptr ? "" : name;
 }
 
-int Run(const std::string& path, const std::string& programs) {
+int Run(const std::string& path, const std::string& programs,
+        const std::string& deployment, std::uint64_t seed) {
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
@@ -114,6 +116,9 @@
   const char* binary = std::getenv("LENTILCROSS_BINARY");
   runner.lentilcross = binary != nullptr ? binary : programs + "/lentilcross";
   runner.work = MakeDirectory();
+  runner.scenario = std::filesystem::path(path).stem().string();
+  runner.seed = seed;
+  runner.fleet.deployment = *DeploymentOf(deployment);
   runner.fleet.base_port = ports.first();
   const bool held = RunSteps(runner, script, statements);
   runner.loads.clear();
@@ -131,9 +136,13 @@
 }  // namespace lentilcross::scenario
 
 int main(int argc, char** argv) {
-  if (argc != 3) {
-    std::cerr << "usage: lentilcross_scenario SCRIPT PROGRAM_DIRECTORY\n";
+  const std::string deployment = argc > 3 ? argv[3] : "cedarhoop";
+  const std::uint64_t seed = argc > 4 ? std::strtoull(argv[4], nullptr, 10) : 1;
+  if (argc < 3 || argc > 5 || seed == 0 ||
+      !lentilcross::scenario::DeploymentOf(deployment)) {
+    std::cerr << "usage: lentilcross_scenario SCRIPT PROGRAM_DIRECTORY "
+                 "[cedarhoop|brierley [SEED]]\n";
     return 2;
   }
-  return lentilcross::scenario::Run(argv[1], argv[2]);
+  return lentilcross::scenario::Run(argv[1], argv[2], deployment, seed);
 }
--- a/tools/scenario/runner.cpp
+++ b/tools/scenario/runner.cpp
@@ -43,12 +43,27 @@
          result.response.status == 200;
 }
 
+double Metric(const std::string& text, const std::string& name) {
+  double sum = 0;
+  const std::string start = "\nlentilcross_" + name;
+  for (std::size_t at = text.find(start); at != std::string::npos;
+       at = text.find(start, at + 1)) {
+    const std::size_t end = text.find('\n', at + 1);
+    const std::string line = text.substr(at + 1, end - at - 1);
+    const char next = line[start.size() - 1];
+    if (next != ' ' && next != '{') continue;
+    sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
+  }
+  return sum;
+}
+
 void Runner::StartDaemon(const Host& host) {
   const std::string path = work + "/" + host.name + ".json";
   std::ofstream(path) << fleet.Settings(host).dump(2);
   daemons[host.name] = Child({lentilcross, "daemon", "--settings", path},
                              work + "/daemon-" + host.name);
   paused[host.name] = false;
+  started[host.name] = Clock::now();
   expected[host.name] = true;
   statuses.erase(host.name);
 }
--- a/tools/scenario/runner.h
+++ b/tools/scenario/runner.h
@@ -21,6 +21,7 @@
   Child process;
   std::string records_path;
   std::string report_path;
+  std::string lifetimes_path;
   std::optional<nlohmann::json> report;
 };
 
@@ -33,17 +34,25 @@
 };
 
 /// State of a running scenario. Statements are implemented in
-/// `declarations.cpp`, `faults.cpp`, `waits.cpp` and `expectations.cpp`.
+/// `declarations.cpp`, `faults.cpp`, `waits.cpp`, `expectations.cpp` and
+/// `measures.cpp`.
 struct Runner {
   std::string program_directory;  ///< Of `lentilcross` and the stand-ins.
   std::string lentilcross;        ///< The binary to test.
   std::string work;               ///< Temporary directory.
+  std::string scenario;           ///< Name of the script.
+  std::uint64_t seed = 1;
+  /// From `trigger begins` to `trigger ends`.
+  std::chrono::steady_clock::time_point trigger_began{};
+  std::chrono::steady_clock::time_point trigger_ended{};
 
   Fleet fleet;
   std::map<std::string, Child> daemons;
   std::map<std::string, Child> standins;
   std::map<std::string, Load> loads;
   std::map<std::string, bool> paused;
+  /// Start of the daemons.
+  std::map<std::string, std::chrono::steady_clock::time_point> started;
   /// Daemons that should run: started, and neither killed nor stopped.
   std::map<std::string, bool> expected;
   std::map<std::string, int> versions;             ///< Highest seen, by host.
@@ -80,6 +89,10 @@
 bool Post(const std::string& address, const std::string& path,
           const std::string& body);
 
+/// Sum of a metric over its labels; 0 while it is absent. `name` lacks the
+/// prefix.
+double Metric(const std::string& text, const std::string& name);
+
 struct Statement {
   std::string pattern;
   std::function<Failure(Runner&, const Step&)> run;
@@ -89,5 +102,6 @@
 std::vector<Statement> Faults();
 std::vector<Statement> Waits();
 std::vector<Statement> Expectations();
+std::vector<Statement> Measures();
 
 }  // namespace lentilcross::scenario
--- a/tools/scenario/waits.cpp
+++ b/tools/scenario/waits.cpp
@@ -145,21 +145,6 @@
   return failure.empty() ? "" : failure + " " + runner.Counters(host).dump();
 }
 
-// Sum of a metric over its labels; 0 while it is absent.
-double Metric(const std::string& text, const std::string& name) {
-  double sum = 0;
-  const std::string start = "\nlentilcross_" + name;
-  for (std::size_t at = text.find(start); at != std::string::npos;
-       at = text.find(start, at + 1)) {
-    const std::size_t end = text.find('\n', at + 1);
-    const std::string line = text.substr(at + 1, end - at - 1);
-    const char next = line[start.size() - 1];
-    if (next != ' ' && next != '{') continue;
-    sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
-  }
-  return sum;
-}
-
 Failure WaitMetric(Runner& runner, const Step& step) {
   const Host& host = runner.fleet.host(step.at(0));
   const double least = std::strtod(step.at(2).c_str(), nullptr);
--- a/tools/standins/standin_target.cpp
+++ b/tools/standins/standin_target.cpp
@@ -35,6 +35,7 @@
   std::size_t queue = 64;  // Requests beyond it are answered with 503.
   double service_ms = 5;
   bool exponential = false;
+  int phases = 1;      // Of an exponential service time; more vary less.
   double cold_ms = 0;  // Service is `cold_factor` slower this long after start.
   double cold_factor = 4;
   bool draining = false;
@@ -48,6 +49,7 @@
     queue = change.value("queue", queue);
     service_ms = change.value("service_ms", service_ms);
     exponential = change.value("exponential", exponential);
+    phases = std::max(change.value("phases", phases), 1);
     cold_ms = change.value("cold_ms", cold_ms);
     cold_factor = change.value("cold_factor", cold_factor);
     draining = change.value("draining", draining);
@@ -236,7 +238,8 @@
   Milliseconds ServiceTime() {
     double time = behaviour_.service_ms;
     if (behaviour_.exponential && time > 0) {
-      time = std::exponential_distribution<>(1 / time)(random_);
+      time = std::gamma_distribution<>(behaviour_.phases,
+                                       time / behaviour_.phases)(random_);
     }
     const Milliseconds age = Clock::now() - started_;
     if (age.count() < behaviour_.cold_ms) time *= behaviour_.cold_factor;
