Serve old content from a stale platform in a scenario

The scenario platform_stale publishes the present content under version 1, and its platform honours the version that a reader has. No daemon that has a configuration ever saw an old document, and no withdrawn key was in one.

The new statement "platform stale content" serves the first document to every reader.

--- a/tools/scenario/faults.cpp
+++ b/tools/scenario/faults.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "lentilcross/types.h"
@@ -229,8 +230,20 @@
       "platform");
 }
 
+// Serves the first document to every reader, newer ones included, as a copy
+// without the parameter `after` does.
+Failure MakeStaleContent(Runner& runner, const Step&) {
+  std::stringstream first;
+  first << std::ifstream(runner.work + "/configuration.json").rdbuf();
+  Failure failure = ChangePlatform(runner, {{"ignore_after", true}});
+  if (!failure.empty()) return failure;
+  return Check(Post(runner.fleet.PlatformControl(), "/publish", first.str()),
+               "platform");
+}
+
 Failure PlatformUp(Runner& runner, const Step&) {
-  Failure failure = ChangePlatform(runner, {{"down", false}, {"delay_ms", 0}});
+  Failure failure = ChangePlatform(
+      runner, {{"down", false}, {"delay_ms", 0}, {"ignore_after", false}});
   return failure.empty() ? Publish(runner) : failure;
 }
 
@@ -289,6 +302,7 @@
          return ChangePlatform(r, {{"delay_ms", kPlatformDelayMs}});
        }},
       {"platform stale", MakeStale},
+      {"platform stale content", MakeStaleContent},
       {"platform up", PlatformUp},
       {"publish preset <preset>", PublishPreset},
       {"withdraw key <organisation>", Withdraw},
--- a/tools/standins/standin_platform.cpp
+++ b/tools/standins/standin_platform.cpp
@@ -1,6 +1,7 @@
 // Stand-in for the platform: serves the configuration document and the host
 // list, read and watch only. A control endpoint publishes a new document and
-// makes the platform go down, stale or slow.
+// makes the platform go down, stale or slow, or answer every read at once
+// whatever version the reader has.
 
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -49,6 +50,7 @@
         change.value("delay_ms", static_cast<int>(delay_.count())));
     const bool was_stale = stale_;
     stale_ = change.value("stale", stale_);
+    ignore_after_ = change.value("ignore_after", ignore_after_);
     if (was_stale && !stale_) Show();
     if (down_) AbortWatches();
     if (change.contains("hosts")) hosts_ = change["hosts"];
@@ -93,7 +95,8 @@
       return exchange->Reply(JsonResponse(404, {{"error", "unknown path"}}));
     }
     const std::uint64_t after = QueryNumber(request, "after");
-    if (request.query("after").empty() || shown_version_ > after) {
+    if (request.query("after").empty() || ignore_after_ ||
+        shown_version_ > after) {
       return SendDocument(*exchange);
     }
     AddWatch(exchange, after,
@@ -128,7 +131,7 @@
     shown_ = document_;
     shown_version_ = version_;
     for (auto watch = watches_.begin(); watch != watches_.end();) {
-      if (shown_version_ <= watch->after) {
+      if (shown_version_ <= watch->after && !ignore_after_) {
         ++watch;
         continue;
       }
@@ -154,6 +157,7 @@
   nlohmann::json hosts_ = nlohmann::json::array();
   bool down_ = false;
   bool stale_ = false;
+  bool ignore_after_ = false;
   std::chrono::milliseconds delay_{0};
   std::list<Watch> watches_;
   std::size_t most_watches_ = 0;
