--- a/src/rate_book_impl.h
+++ b/src/rate_book_impl.h
@@ -96,6 +96,7 @@
                          Instant now) const;
   void Serve(RateOrg& org, Lent& lent, bool first, Instant now);
   void ServeUnmet(RateOrg& org, Instant now);
+  static bool HasUnmet(const RateOrg& org, Instant now);
 
   std::vector<Outgoing> Tick(Instant now);
   void Sweep(Instant now);
--- a/src/rate_lender.cpp
+++ b/src/rate_lender.cpp
@@ -212,4 +212,10 @@
   }
 }
 
+bool RateBook::Impl::HasUnmet(const RateOrg& org, Instant now) {
+  const std::vector<Lent>& lent = org.account.lent();
+  return std::any_of(lent.begin(), lent.end(),
+                     [now](const Lent& each) { return each.UnmetAt(now) > 0; });
+}
+
 }  // namespace lentilcross
--- a/tests/rate_book_test.cpp
+++ b/tests/rate_book_test.cpp
@@ -155,6 +155,43 @@
   }
 }
 
+// Guards against a refusal within rate while quotas come into force: the hosts
+// start at different times, and the lender of a host answers without tokens
+// until then. A caller sends one request after the other.
+BOOST_AUTO_TEST_CASE(first_admission_is_followed_by_admissions) {
+  for (const int host : {0, 1}) {
+    for (const int delay :
+         {0, 20, 40, 60, 80, 100, 150, 200, 300, 400, 500, 700, 1000, 3000}) {
+      RateFleet::Options options;
+      options.domains = 1;
+      options.hosts_per_domain = 2;
+      options.organisations = {{1000, 1000}};
+      RateFleet fleet(options);
+      fleet.RunUntil(fleet.now() + milliseconds(delay));
+      fleet.Restart(1 - host);
+      // Contacts come often, so that no quota is suspended.
+      const Instant end = fleet.now() + seconds(16);
+      unsigned refused = 0;
+      while (fleet.now() < end) {
+        for (const int each : {0, 1}) {
+          fleet.book(each)->RecordContact(fleet.now(), fleet.now());
+        }
+        const auto admitted = fleet.count(0).admitted;
+        fleet.Arrive(host, 0);
+        for (int i = 0; i < 31 && fleet.count(0).admitted == admitted; ++i) {
+          fleet.RunUntil(fleet.now() + milliseconds(1));
+        }
+        fleet.RunUntil(fleet.now() + milliseconds(1));
+        if (admitted > 0 && fleet.count(0).admitted == admitted) ++refused;
+      }
+      BOOST_TEST_CONTEXT("host " << host << ", delay " << delay << " ms") {
+        BOOST_TEST(fleet.count(0).admitted > 0U);
+        BOOST_TEST(refused == 0U);
+      }
+    }
+  }
+}
+
 // Guards against tokens that stay at idle owners: a burst at a host that owns
 // nothing gets all of them, also in parts of less than one token.
 BOOST_AUTO_TEST_CASE(tokens_of_idle_owners_reach_a_burst) {
--- a/tools/rate_compare/rate_compare.cpp
+++ b/tools/rate_compare/rate_compare.cpp
@@ -208,22 +208,24 @@
   Print(label, "longest_wait", wait.count(), "ms");
 }
 
-RateFleet::Options MakeOptions(const Deployment& deployment,
+// One quota for all organisations, or the standard set if `quota` is empty.
+RateFleet::Options MakeOptions(const Deployment& deployment, Quota quota,
                                std::uint64_t seed) {
   RateFleet::Options options;
   options.delay_in_domain = deployment.between_domains / 2;
   options.delay_in_region = deployment.between_domains;
   options.organisations = {{2000, 1000}, {1000, 500}, {600, 300}, {200, 100},
                            {200, 100},   {100, 50},   {100, 50},  {50, 25}};
+  if (quota.rate > 0) options.organisations.assign(8, quota);
   options.seed = seed;
   return options;
 }
 
 void Compare(const Deployment& deployment, const Skew& skew,
-             const std::string& faults, Duration length, double use,
-             std::uint64_t seed) {
+             const std::string& faults, Quota quota, Duration length,
+             double use, std::uint64_t seed) {
   RateRun run;
-  run.options = MakeOptions(deployment, seed);
+  run.options = MakeOptions(deployment, quota, seed);
   run.length = length;
   Random random(seed);
   const RateFleet fleet(run.options);
@@ -250,6 +252,10 @@
                         cxxopts::value<int>()->default_value("60"))(
       "use", "offered part of each rate",
       cxxopts::value<double>()->default_value("0.9"))(
+      "rate", "rate of every organisation; 0: a set of eight quotas",
+      cxxopts::value<double>()->default_value("0"))(
+      "burst", "burst of every organisation, with --rate",
+      cxxopts::value<double>()->default_value("0"))(
       "seeds", "number of seeds", cxxopts::value<int>()->default_value("2"))(
       "help", "print this");
   const auto arguments = options.parse(argc, argv);
@@ -258,12 +264,14 @@
     return 0;
   }
   const std::chrono::seconds length(arguments["seconds"].as<int>());
+  const lentilcross::Quota quota = {arguments["rate"].as<double>(),
+                                    arguments["burst"].as<double>()};
   for (int seed = 1; seed <= arguments["seeds"].as<int>(); ++seed) {
     for (const auto& deployment : lentilcross::kDeployments) {
       for (const auto& skew : lentilcross::Skews()) {
         for (const char* faults :
              {"no-faults", "loss", "pauses", "restarts", "partitions"}) {
-          lentilcross::Compare(deployment, skew, faults, length,
+          lentilcross::Compare(deployment, skew, faults, quota, length,
                                arguments["use"].as<double>(),
                                static_cast<std::uint64_t>(seed));
         }
