Return unused burst sooner when the bucket fills quickly

Cause: hosts keep burst for 50 ms after they used its tokens. With rate 200 and burst 20 the whole bucket fills in 100 ms, so much of the burst is away from the owner that saves tokens up.

Change: unused burst is kept for at most a fifth of the time in which the bucket fills, and at most 50 ms as before.

--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -36,6 +36,9 @@
 constexpr Duration kRateAskInterval = std::chrono::milliseconds(200);
 constexpr Duration kRenewInterval = std::chrono::milliseconds(100);
 constexpr Duration kReleaseInterval = std::chrono::milliseconds(50);
+// Part of the time in which the whole bucket fills for which unused burst may
+// be kept. Burst at other hosts is missing where tokens are saved up.
+constexpr double kReleaseShare = 0.2;
 constexpr Duration kAskAllInterval = std::chrono::milliseconds(100);
 // Time in which an answer from another region arrives, twice over.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(40);
@@ -68,6 +71,13 @@
   return need > 2 * lender.last_need && now - lender.asked >= kGrownAskInterval;
 }
 
+Duration ReleaseInterval(Quota total) {
+  const std::chrono::duration<double> filled(total.burst /
+                                             std::max(total.rate, 1e-9));
+  if (filled * kReleaseShare >= kReleaseInterval) return kReleaseInterval;
+  return std::chrono::duration_cast<Duration>(filled * kReleaseShare);
+}
+
 bool IsRenewalDue(const RateAccount& account, const Lender& lender,
                   Instant now) {
   for (const Borrowed& loan : account.borrowed()) {
@@ -247,7 +257,7 @@
   const double slack =
       std::max(0.0, account.held().burst - account.tokens() - reach);
   const bool release =
-      since >= kReleaseInterval &&
+      since >= ReleaseInterval(org.total) &&
       std::min(slack, level.burst) >
           std::max(wishes.stock,
                    std::min(2.0, kLeastRelease * org.total.burst));
