Split Buy and Serve in the rate book

Both mixed the decision whether to act with the sizes of what is asked or lent. Serve now decides and MakeLoan sizes the loan; Buy takes the rate and the unused burst from functions of their own.

--- a/src/rate_book_impl.h
+++ b/src/rate_book_impl.h
@@ -63,6 +63,8 @@
     double need = 0;    ///< Tokens to fetch now.
     bool urgent = false;
   };
+  /// Rate to hold of the primary beyond the own one.
+  static double RateToBorrow(const RateOrg& org, const Wishes& wishes);
   void FindLenders(RateOrg& org);
   void NoteSilence(RateOrg& org, Instant now) const;
   Lender* Primary(RateOrg& org, Instant now);
@@ -95,6 +97,10 @@
   double GrantableTokens(const RateOrg& org, const Lent& lent,
                          Instant now) const;
   void Serve(RateOrg& org, Lent& lent, bool first, Instant now);
+  /// Lends `rate` and `give` tokens, with as much empty burst as fits into
+  /// `room`. The loan is empty if its term would be too short.
+  Loan MakeLoan(RateOrg& org, Lent& lent, Quota room, double rate, double give,
+                Instant now);
   void ServeUnmet(RateOrg& org, Instant now);
   static bool HasUnmet(const RateOrg& org, Instant now);
 
--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -78,6 +78,18 @@
   return std::chrono::duration_cast<Duration>(filled * kReleaseShare);
 }
 
+// Time for whose generation burst is kept empty.
+double ReachSeconds(Quota total) {
+  return kReachShare * total.burst / std::max(total.rate, 1e-9);
+}
+
+// Burst that neither holds tokens nor is needed for generation soon.
+double UnusedBurst(const RateOrg& org) {
+  const Quota held = org.account.held();
+  const double reach = held.rate * ReachSeconds(org.total);
+  return std::max(0.0, held.burst - org.account.tokens() - reach);
+}
+
 bool IsRenewalDue(const RateAccount& account, const Lender& lender,
                   Instant now) {
   for (const Borrowed& loan : account.borrowed()) {
@@ -90,6 +102,13 @@
 
 }  // namespace
 
+double RateBook::Impl::RateToBorrow(const RateOrg& org, const Wishes& wishes) {
+  const double own = org.account.own().rate - org.account.own_lent().rate;
+  const double steady =
+      wishes.stock < kLeastStockForRate ? 0 : SteadyPart(wishes.demand);
+  return std::max(0.0, steady - std::max(0.0, own));
+}
+
 void RateBook::Impl::FindLenders(RateOrg& org) {
   if (org.lenders_known) return;
   org.lenders_known = true;
@@ -227,19 +246,14 @@
 void RateBook::Impl::Buy(RateOrg& org, Lender& primary, const Wishes& wishes,
                          Instant now) {
   const RateAccount& account = org.account;
-  const double own_rate = account.own().rate - account.own_lent().rate;
-  const double steady =
-      wishes.stock < kLeastStockForRate ? 0 : SteadyPart(wishes.demand);
-  const double rate = std::max(0.0, steady - std::max(0.0, own_rate));
+  const double rate = RateToBorrow(org, wishes);
   const bool ready = now - primary.asked >= Backoff(primary) ||
                      HasGrown(primary, wishes.need, now);
   const double need = ready ? wishes.need : 0;
   const bool is_cold = now - primary.served > kServedMemory &&
                        (primary.failures > 0 || !org.is_owner ||
                         wishes.need > primary.potential.burst / 2);
-  if (wishes.urgent && is_cold) {
-    AskAll(org, wishes, now);
-  }
+  if (wishes.urgent && is_cold) AskAll(org, wishes, now);
   for (Lender& lender : org.lenders) {
     if (&lender != &primary && IsRenewalDue(account, lender, now)) {
       Drop(org, lender, now);
@@ -250,29 +264,23 @@
   const bool renew = IsRenewalDue(account, primary, now);
   const bool raise = rate > level.rate * 1.1 + 0.01 * org.total.rate &&
                      since >= kRateAskInterval;
-  // Burst that neither holds tokens nor is needed for generation soon.
-  const double reach_time =
-      kReachShare * org.total.burst / std::max(org.total.rate, 1e-9);
-  const double reach = account.held().rate * reach_time;
-  const double slack =
-      std::max(0.0, account.held().burst - account.tokens() - reach);
-  const bool release =
-      since >= ReleaseInterval(org.total) &&
-      std::min(slack, level.burst) >
-          std::max(wishes.stock,
-                   std::min(2.0, kLeastRelease * org.total.burst));
-  if (release && need <= 0 && !renew && !raise) {
-    Release(org, primary, {std::min(level.rate, rate), level.burst - slack}, 0,
-            now);
-  }
-  if (need <= 0 && !renew && !raise) return;
+  const double slack = UnusedBurst(org);
   const double freed = std::min(slack, level.burst);
+  const double kept_rate = std::min(level.rate, rate);
+  if (need <= 0 && !renew && !raise) {
+    const double least =
+        std::max(wishes.stock, std::min(2.0, kLeastRelease * org.total.burst));
+    if (since >= ReleaseInterval(org.total) && freed > least) {
+      Release(org, primary, {kept_rate, level.burst - slack}, 0, now);
+    }
+    return;
+  }
   const double most = 1.5 * std::max(wishes.stock, 1.0);
   const double surplus =
       renew ? std::clamp(account.tokens() - most, 0.0, level.burst - freed) : 0;
-  const double room = rate * reach_time;
-  Ask(org, primary, {std::min(level.rate, rate), level.burst - freed - surplus},
-      surplus, {rate, rate > 0 ? room : 0}, need, now);
+  const double room = rate > 0 ? rate * ReachSeconds(org.total) : 0;
+  Ask(org, primary, {kept_rate, level.burst - freed - surplus}, surplus,
+      {rate, room}, need, now);
 }
 
 // Used when it is not known where the tokens are: the primary has not gathered
--- a/src/rate_lender.cpp
+++ b/src/rate_lender.cpp
@@ -153,20 +153,30 @@
 }
 
 void RateBook::Impl::Serve(RateOrg& org, Lent& lent, bool first, Instant now) {
-  RateAccount& account = org.account;
   if (!first && lent.levels.size() >= kMaxLoanLevels) return;
-  const Quota before = lent.At(now);
-  Quota room = account.held();
-  if (!lent.onward) room = Min(room, account.own() - account.own_lent());
-  Quota level;
-  level.rate = std::min(lent.want.rate, GrantableRate(org, lent, now));
-  double give = std::min(
+  Quota room = org.account.held();
+  if (!lent.onward) {
+    room = Min(room, org.account.own() - org.account.own_lent());
+  }
+  const double rate = std::min(lent.want.rate, GrantableRate(org, lent, now));
+  const double give = std::min(
       {lent.UnmetAt(now), GrantableTokens(org, lent, now), room.burst});
   if (!first && give < std::min(1.0, lent.unmet) - 1e-9 &&
-      level.rate <= before.rate * 1.1) {
+      rate <= lent.At(now).rate * 1.1) {
     return;
   }
   lent.unmet -= give;
+  const Loan loan = MakeLoan(org, lent, room, rate, give, now);
+  if (!first) {
+    grants.push_back({lent.borrower, {lent.incarnation, lent.last_number, {}}});
+  }
+  grants.back().message.loans.push_back(loan);
+}
+
+Loan RateBook::Impl::MakeLoan(RateOrg& org, Lent& lent, Quota room, double rate,
+                              double give, Instant now) {
+  RateAccount& account = org.account;
+  const Quota before = lent.At(now);
   // Burst without tokens: what the borrower's own generation fills.
   const double wish = std::max(0.0, lent.want.burst - before.burst - give);
   const double keep = lent.onward
@@ -177,8 +187,8 @@
   const double extra = std::min({wish, spare, room.burst - give});
   // Tokens may only go along with burst that was not lent before.
   const bool grows = give + extra > 0;
-  level.burst = grows ? before.burst + give + extra
-                      : std::min(before.burst, lent.want.burst);
+  const Quota level = {rate, grows ? before.burst + give + extra
+                                   : std::min(before.burst, lent.want.burst)};
   // Tokens that no longer fit here go along.
   const double overflow =
       account.tokens() - give - (account.held().burst - give - extra);
@@ -190,18 +200,14 @@
   const Duration term = std::min(
       init.loan_term, Scaled(until - now - kTakeBackMargin, 1 / kClockDrift));
   Loan loan{org.id, {}, 0, {}, lent.next_part++};
-  if (term >= kShortestTerm && lent.levels.size() < kMaxLoanLevels) {
-    loan.quota = level;
-    loan.tokens = give;
-    loan.term = term;
-    account.Grant(lent, loan, until);
-    ++stats.loans_granted;
-    if (lent.onward) lent.drawn.Add(give, now);
-  }
-  if (!first) {
-    grants.push_back({lent.borrower, {lent.incarnation, lent.last_number, {}}});
-  }
-  grants.back().message.loans.push_back(loan);
+  if (term < kShortestTerm || lent.levels.size() >= kMaxLoanLevels) return loan;
+  loan.quota = level;
+  loan.tokens = give;
+  loan.term = term;
+  account.Grant(lent, loan, until);
+  ++stats.loans_granted;
+  if (lent.onward) lent.drawn.Add(give, now);
+  return loan;
 }
 
 void RateBook::Impl::ServeUnmet(RateOrg& org, Instant now) {
