Retry a shed call by one rule in the daemon and the bench

The bench retried a shed call elsewhere only if its rank reached the level that the reply stated, and never a failure from behind the called host. The daemon ignored the level, and an answer 503 with which a hop gave up was retried again by the hop above, because only refusals carried "attempts exhausted".

MayTryElsewhere in the core now decides for both. The daemon compares the rank of the request with the level that the called host states for its own service, and a failing answer exhausts the attempts as a refusal does.

outgoing_calls_test: before, 3 checks failed (2 calls instead of 1 below the level; an answer 503 without "attempts exhausted"); now all pass. fault_matrix passes.

--- a/include/lentilcross/retry.h
+++ b/include/lentilcross/retry.h
@@ -30,6 +30,20 @@
   std::uint16_t extra_attempts_;
 };
 
+/// An attempt of a call that did not succeed, as far as it decides about
+/// another one.
+struct FailedAttempt {
+  bool behind = false;  ///< A call behind the called target ended badly.
+  bool shed = false;    ///< The called host or its target refused it.
+  bool may_have_run = false;
+  bool idempotent = true;
+  std::uint32_t rank = 0;   ///< Of the request, from `RankOf`.
+  std::uint32_t level = 0;  ///< Shedding level of the called service, if shed.
+};
+
+/// True if another target may be tried, within allowance and budget.
+bool MayTryElsewhere(const FailedAttempt& attempt);
+
 /// Bounds retries of this process to a fraction of its first attempts, for each
 /// service.
 class RetryBudget {
--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -234,7 +234,7 @@
 
   bool MayRetry(const OutgoingPtr& out, const Reply& reply) {
     if (out->request.issuer || out->abort_reason != Reason::kNone) return false;
-    if (!IsRetryable(reply, out->request.idempotent)) return false;
+    if (!IsRetryable(out->call, reply)) return false;
     const Instant now = state.Now();
     if (now >= out->request.deadline) return false;
     if (out->allowance.extra_attempts() == 0) return false;
@@ -255,10 +255,10 @@
   void Finish(const OutgoingPtr& out, Reply reply) {
     out->timer->Stop();
     by_handle.erase(out->handle);
-    if (!IsAnswer(reply)) {
-      if (!out->request.issuer) out->history.Judge(reply.refusal);
-      reply.attempts_exhausted = true;
+    if (!IsAnswer(reply) && !out->request.issuer) {
+      out->history.Judge(reply.refusal);
     }
+    if (ExhaustsAttempts(reply)) reply.attempts_exhausted = true;
     reply.extra_attempts_left = out->allowance.extra_attempts();
     reply.levels = std::move(out->levels);
     Done done = std::exchange(out->done, nullptr);
--- a/src/retry.cpp
+++ b/src/retry.cpp
@@ -27,6 +27,14 @@
   return true;
 }
 
+bool MayTryElsewhere(const FailedAttempt& attempt) {
+  // The hop next to the failure has retried; more hops would multiply that.
+  if (attempt.behind) return false;
+  if (attempt.may_have_run && !attempt.idempotent) return false;
+  // A request below the level would be refused by the other targets too.
+  return !attempt.shed || attempt.rank >= attempt.level;
+}
+
 RetryBudget::Bucket& RetryBudget::Refill(ServiceId service, Instant now) {
   const auto [it, is_new] = buckets_.try_emplace(service);
   Bucket& bucket = it->second;
--- a/src/retry_policy.cpp
+++ b/src/retry_policy.cpp
@@ -1,7 +1,11 @@
 #include "retry_policy.h"
 
+#include <algorithm>
+
 #include "call_replies.h"
 #include "http_types.h"
+#include "lentilcross/retry.h"
+#include "lentilcross/shedding.h"
 
 namespace lentilcross {
 namespace {
@@ -11,6 +15,30 @@
   return reply.refusal.reason == Reason::kOverloaded;
 }
 
+/// True if another target may give a better reply.
+bool IsTransient(const Reply& reply) {
+  if (IsAnswer(reply)) return reply.status == 503;
+  switch (reply.refusal.reason) {
+    case Reason::kOverloaded:
+    case Reason::kDraining:
+    case Reason::kNotReady:
+    case Reason::kNoTarget:
+    case Reason::kTargetFailed:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Level that the called host stated for its own service: it adds that after
+/// those of the services behind it.
+std::uint32_t LevelOf(ServiceId service, const Reply& reply) {
+  const auto own = std::find_if(
+      reply.levels.rbegin(), reply.levels.rend(),
+      [&](const ServiceLevel& level) { return level.service == service; });
+  return own == reply.levels.rend() ? 0 : own->level;
+}
+
 /// Reasons that always come with the outcome "not run".
 bool MeansNotRun(Reason reason) {
   switch (reason) {
@@ -48,20 +76,20 @@
   if (MeansNotRun(refusal.reason)) refusal.reason = Reason::kAttemptsExhausted;
 }
 
-bool IsRetryable(const Reply& reply, bool idempotent) {
-  if (reply.attempts_exhausted) return false;
-  if (IsAnswer(reply)) return idempotent && reply.status == 503;
-  if (!idempotent && !IsNotRun(reply)) return false;
-  switch (reply.refusal.reason) {
-    case Reason::kOverloaded:
-    case Reason::kDraining:
-    case Reason::kNotReady:
-    case Reason::kNoTarget:
-    case Reason::kTargetFailed:
-      return true;
-    default:
-      return false;
-  }
+bool IsRetryable(const Call& call, const Reply& reply) {
+  if (!IsTransient(reply)) return false;
+  FailedAttempt attempt;
+  attempt.behind = reply.attempts_exhausted;
+  attempt.shed = IsShed(reply);
+  attempt.may_have_run = !IsNotRun(reply);
+  attempt.idempotent = call.idempotent;
+  attempt.rank = RankOf(call.context.importance, call.context.id);
+  attempt.level = LevelOf(call.service, reply);
+  return MayTryElsewhere(attempt);
+}
+
+bool ExhaustsAttempts(const Reply& reply) {
+  return !IsAnswer(reply) || IsShed(reply) || reply.status >= 500;
 }
 
 Router::Observation ObservationOf(const Reply& reply, Reason abort_reason) {
--- a/src/retry_policy.h
+++ b/src/retry_policy.h
@@ -24,9 +24,13 @@
   bool proven_not_run_ = true;
 };
 
-/// True if another attempt may be made after this reply, as far as the reply
-/// decides it.
-bool IsRetryable(const Reply& reply, bool idempotent);
+/// True if another attempt may be made after this reply to `call`, as far as
+/// the reply decides it.
+bool IsRetryable(const Call& call, const Reply& reply);
+
+/// True if the hops above must not retry after this reply, because this hop was
+/// next to the failure.
+bool ExhaustsAttempts(const Reply& reply);
 
 /// What the router learns from a reply. `abort_reason` is not `kNone` if this
 /// daemon ended the attempt itself.
--- a/tools/bench/caller.cpp
+++ b/tools/bench/caller.cpp
@@ -100,16 +100,15 @@
   if (reply.end == CallEnd::kOk || reply.end == CallEnd::kLate) return false;
   if (world_.loop.now() >= pending.request->deadline) return false;
   if (world_.policy != Policy::kLentilcross) return pending.tried.size() < 2;
-  if (reply.end == CallEnd::kBehind) return false;
-  const bool may_have_run = reply.end == CallEnd::kFailed;
   const Importance importance = pending.request->importance;
-  if (may_have_run && importance == Importance::kCritical) return false;
-  // A request below the level would be refused by the other targets too.
-  if (reply.end == CallEnd::kShed && !reply.levels.empty() &&
-      RankOf(importance, pending.request->id) < reply.levels.front().level) {
-    return false;
-  }
-  return pending.allowance.extra_attempts() > 0 &&
+  FailedAttempt attempt;
+  attempt.behind = reply.end == CallEnd::kBehind;
+  attempt.shed = reply.end == CallEnd::kShed;
+  attempt.may_have_run = reply.end == CallEnd::kFailed;
+  attempt.idempotent = importance != Importance::kCritical;
+  attempt.rank = RankOf(importance, pending.request->id);
+  attempt.level = reply.levels.empty() ? 0 : reply.levels.front().level;
+  return MayTryElsewhere(attempt) && pending.allowance.extra_attempts() > 0 &&
          budget_.TryRetry(world_.deployment.services[pending.hop],
                           world_.loop.now()) &&
          pending.allowance.Spend();
