Give small organisations their share under overload

At 3 times capacity higher importance takes 0.9 of the bottleneck. Four causes kept the few lookups of small organisations out of the rest (counted by hop, organisation and reason in a trial copy):

- calls were dropped after 50 ms although their organisation was below its share, before higher importance left a gap; they now wait for up to a quarter of their time limit while another organisation has used more for its weight;
- the queue held one longest wait of calls, so that calls of higher importance alone evicted the rest; it now holds two;
- a refresh of the limit at 0.85 of the slots left no room for lookups; it now runs at 0.9;
- an entry daemon that gets a reply every 80 ms followed the level of the last target alone; levels are now averaged over 0.5 s.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -17,6 +17,10 @@
 constexpr Duration kRetryAfter = milliseconds(500);
 // Room in the queue for short bursts at targets with few calls.
 constexpr std::size_t kFewestQueued = 8;
+// Calls queue for this many times the longest wait. Higher importance can fill
+// a queue for one longest wait during a refresh of the limit; the last lookups
+// of small organisations were evicted then.
+constexpr double kQueueWaits = 2;
 // A queue that did not empty for this part of its longest wait is standing.
 constexpr int kStandingDivisor = 2;
 
@@ -56,7 +60,7 @@
 
 std::size_t TargetAdmission::Impl::queue_bound() const {
   const double calls =
-      levels.start_rate() * Seconds(init.longest_queue).count();
+      kQueueWaits * levels.start_rate() * Seconds(init.longest_queue).count();
   return std::clamp(static_cast<std::size_t>(calls), kFewestQueued,
                     std::max(kFewestQueued, init.max_queued));
 }
--- a/src/call_queue.cpp
+++ b/src/call_queue.cpp
@@ -12,6 +12,9 @@
 // take more than its share at once; shorter is noise at few calls per second.
 constexpr double kShareSeconds = 4.0;
 constexpr double kIdleUse = 0.01;
+// Part of the time that a call had left on arrival for which it may wait while
+// its organisation is below its share; the rest is for the services behind.
+constexpr int kLongWaitDivisor = 4;
 
 // Well below the range of a double.
 constexpr double kLargestGrowth = 1e6;
@@ -99,15 +102,25 @@
   return shed;
 }
 
+// Highest use for its weight of an organisation.
+double CallQueue::MostUsed() const {
+  double most = 0;
+  for (const auto& [id, organisation] : organisations_) {
+    most = std::max(most, organisation.used / organisation.weight);
+  }
+  return most;
+}
+
 template <typename Expired>
 void CallQueue::Extract(std::size_t level, Expired expired,
                         std::vector<Waiting>& out) {
   if (class_sizes_[level] == 0) return;
   for (auto& [id, organisation] : organisations_) {
+    const Organisation& owner = organisation;
     Class& calls = organisation.classes[level];
     const auto removed = std::stable_partition(
         calls.begin(), calls.end(),
-        [&](const Waiting& call) { return !expired(call); });
+        [&](const Waiting& call) { return !expired(owner, call); });
     const auto count = static_cast<std::size_t>(calls.end() - removed);
     out.insert(out.end(), removed, calls.end());
     calls.erase(removed, calls.end());
@@ -122,12 +135,17 @@
   std::vector<Waiting> expired;
   if (size_ == 0) return expired;
   bool lower_waits = false;
+  const double most_used = MostUsed();
   for (std::size_t level = 0; level < kImportanceCount; ++level) {
     Extract(
         level,
-        [&](const Waiting& call) {
-          return call.entry.deadline < now + needed ||
-                 (!lower_waits && call.arrived < oldest);
+        [&](const Organisation& organisation, const Waiting& call) {
+          if (call.entry.deadline < now + needed) return true;
+          if (lower_waits || call.arrived >= oldest) return false;
+          const Duration longest =
+              (call.entry.deadline - call.arrived) / kLongWaitDivisor;
+          return organisation.used / organisation.weight >= most_used ||
+                 now - call.arrived > longest;
         },
         expired);
     lower_waits = lower_waits || class_sizes_[level] > 0;
--- a/src/call_queue.h
+++ b/src/call_queue.h
@@ -29,7 +29,11 @@
   std::optional<Waiting> PopLowest(Instant now);
   /// Removes the calls that cannot end by their deadline if they take `needed`,
   /// and those that arrived before `oldest`, unless calls of lower importance
-  /// wait: those would start in place of the removed ones.
+  /// wait: those would start in place of the removed ones. Calls of an
+  /// organisation that used less for its weight than another one stay longer,
+  /// for a part of their time limit: its few calls would otherwise miss the
+  /// short gaps that higher importance leaves, and the many of a large
+  /// organisation would fill them.
   std::vector<Waiting> PopExpired(Instant now, Duration needed, Instant oldest);
   bool Remove(std::uint64_t number);
   /// Counts a start of the organisation for its share.
@@ -50,6 +54,7 @@
   /// Counts of starts do not decay one by one: later starts count for more, by
   /// this factor, so that counts compare as if they had decayed.
   double Growth(Instant now) const;
+  double MostUsed() const;
   void Rebase(Instant now);
   void BoundGrowth(Instant now);
 
--- a/src/concurrency_limit.cpp
+++ b/src/concurrency_limit.cpp
@@ -23,8 +23,9 @@
 constexpr double kLargestStep = 1.3;
 constexpr double kSmallestStep = 0.7;
 // Share of the estimate that is in flight while the base latency is refreshed.
-// Above 0.9 an estimate that is too high hardly comes down.
-constexpr double kProbeShare = 0.85;
+// Above 0.9 an estimate that is too high hardly comes down; lower leaves no
+// room for lookups while higher importance alone takes 0.9 of the slots.
+constexpr double kProbeShare = 0.9;
 constexpr int kWindowsBetweenProbes = 32;
 constexpr int kWindowsBeforeEarlyProbe = 3;
 // Share of the throughput, at the same limit, below which the target slowed.
--- a/src/shedding.cpp
+++ b/src/shedding.cpp
@@ -11,9 +11,10 @@
 using Seconds = std::chrono::duration<double>;
 
 // Levels of the targets of one service differ; a reply moves the known level by
-// this share, or further when the last reply is longer ago.
+// this share, or further when the last reply is longer ago. With a shorter time
+// a small organisation, which has few replies, follows the last target alone.
 constexpr double kSmoothing = 0.1;
-constexpr Seconds kSmoothingTime{0.1};
+constexpr Seconds kSmoothingTime{0.5};
 // Levels of organisations are heard at different times, so that one may still
 // be in a lower importance than another. Within this time both count as in
 // force.
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -214,6 +214,24 @@
   BOOST_TEST(admission.Tick(kStart + milliseconds(95)).refuse.size() == 2);
 }
 
+// Guards against a small organisation whose few calls are dropped before higher
+// importance leaves a gap, which the many calls of a large one then fill.
+BOOST_AUTO_TEST_CASE(calls_below_their_share_wait_longer) {
+  TargetAdmission admission = MakeFull(1);  // of organisation 1
+  auto small = MakeEntry(1, Importance::kLookup, 2);
+  auto large = MakeEntry(2, Importance::kLookup, 1);
+  small.deadline = large.deadline = kStart + milliseconds(800);
+  admission.Offer(small, kStart);
+  admission.Offer(large, kStart);
+  const auto dropped = admission.Tick(kStart + milliseconds(60)).refuse;
+  BOOST_REQUIRE(dropped.size() == 1);
+  BOOST_TEST(dropped[0].number == 2);
+  BOOST_TEST(admission.Tick(kStart + milliseconds(190)).refuse.empty());
+  const auto later = admission.Tick(kStart + milliseconds(210)).refuse;
+  BOOST_REQUIRE(later.size() == 1);
+  BOOST_TEST(later[0].number == 1);
+}
+
 // Guards against a standing queue that serves the calls closest to their end.
 BOOST_AUTO_TEST_CASE(standing_queue_is_last_in_first_out) {
   TargetAdmission admission = MakeFull(2);
--- a/tests/shedding_test.cpp
+++ b/tests/shedding_test.cpp
@@ -64,6 +64,19 @@
   BOOST_TEST(other.admitted);
 }
 
+// Guards against a small organisation that is refused by the level of the one
+// target that answered last: its replies come tens of milliseconds apart.
+BOOST_FIXTURE_TEST_CASE(rare_replies_are_averaged, Fixture) {
+  Instant now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    now += milliseconds(80);
+    gate.OnReply(kRoute, kOrganisation, {{kService, 0}}, now);
+  }
+  now += milliseconds(80);
+  gate.OnReply(kRoute, kOrganisation, {{kService, kAllLookups}}, now);
+  BOOST_TEST(gate.level(kRoute, kOrganisation, now) < kAllLookups / 4);
+}
+
 // Guards against overload that lasts because old levels do.
 BOOST_FIXTURE_TEST_CASE(levels_expire, Fixture) {
   gate.OnReply(kRoute, kOrganisation, {{kService, kAllLookups}}, kStart);
