--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -9,6 +9,7 @@
   src/data_state.cpp
   src/http_types.cpp
   src/latency_summary.cpp
+  src/local_targets.cpp
   src/onward_pipeline.cpp
   src/outgoing_calls.cpp
   src/peer_calls.cpp
--- /dev/null
+++ b/src/local_targets.cpp
@@ -0,0 +1,65 @@
+#include "local_targets.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilcross {
+
+LocalTargets::LocalTargets(const std::vector<LocalTarget>& settings) {
+  for (const LocalTarget& local : settings) {
+    AdmittedTarget target;
+    target.settings = local;
+    target.service = ServiceId::FromName(local.service);
+    target.admission =
+        std::make_unique<TargetAdmission>(TargetAdmission::Init{});
+    targets_.push_back(std::move(target));
+  }
+}
+
+std::size_t LocalTargets::LeastLoaded(ServiceId service) const {
+  std::size_t best = targets_.size();
+  double best_load = 0;
+  for (std::size_t i = 0; i < targets_.size(); ++i) {
+    if (targets_[i].service != service) continue;
+    const TargetAdmission& admission = *targets_[i].admission;
+    const double waiting =
+        admission.in_flight() + static_cast<double>(admission.queued());
+    const double load = waiting / std::max(admission.limit(), 1);
+    if (best == targets_.size() || load < best_load) {
+      best = i;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+bool LocalTargets::HasQueue() const {
+  return std::any_of(targets_.begin(), targets_.end(),
+                     [](const AdmittedTarget& target) {
+                       return target.admission->queued() > 0;
+                     });
+}
+
+void LocalTargets::SetLongestQueue(Duration longest_queue) {
+  for (const AdmittedTarget& target : targets_) {
+    target.admission->SetLongestQueue(longest_queue);
+  }
+}
+
+std::vector<TargetStatus> LocalTargets::Status(Instant now) const {
+  std::vector<TargetStatus> list;
+  for (const AdmittedTarget& target : targets_) {
+    TargetStatus status;
+    status.name = target.settings.name;
+    status.service = target.settings.service;
+    status.limit = target.admission->limit();
+    status.in_flight = target.admission->in_flight();
+    status.queued = target.admission->queued();
+    status.level = target.admission->level(OrganisationId(), now);
+    status.admission = target.admission->stats();
+    list.push_back(std::move(status));
+  }
+  return list;
+}
+
+}  // namespace lentilcross
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -6,6 +6,7 @@
 
 #include "call_replies.h"
 #include "lentilcross/config.h"
+#include "local_targets.h"
 #include "target_request.h"
 
 namespace lentilcross {
@@ -21,14 +22,6 @@
 /// another process has taken its place.
 constexpr Duration kDrainProbe = std::chrono::seconds(5);
 
-struct Target {
-  LocalTarget settings;
-  ServiceId service;
-  std::unique_ptr<TargetAdmission> admission;
-  /// The target said that it drains; it is not asked again before.
-  Instant drains_until{};
-};
-
 struct Running {
   Running(Scheduler& scheduler, Call&& incoming)
       : call(std::move(incoming)), timer(scheduler.MakeTimer()) {}
@@ -59,9 +52,11 @@
 }  // namespace
 
 struct TargetCalls::Impl : std::enable_shared_from_this<Impl> {
-  Impl(DataState& data_state, TargetConnections& target_client)
+  Impl(DataState& data_state, TargetConnections& target_client,
+       const std::vector<LocalTarget>& settings)
       : state(data_state),
         client(target_client),
+        targets(settings),
         queue_timer(state.scheduler.MakeTimer()) {}
 
   // ----- Arrival
@@ -110,7 +105,7 @@
       Refuse(running, Reason::kDeadlineExceeded, "no time left", {});
       return;
     }
-    const std::size_t target = LeastLoaded(call.service);
+    const std::size_t target = targets.LeastLoaded(call.service);
     if (target == targets.size()) {
       Refuse(running, Reason::kNoTarget, "no target of the service here", {});
       return;
@@ -125,23 +120,6 @@
     StartQueueTimer();
   }
 
-  std::size_t LeastLoaded(ServiceId service) const {
-    std::size_t best = targets.size();
-    double best_load = 0;
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-      if (targets[i].service != service) continue;
-      const TargetAdmission& admission = *targets[i].admission;
-      const double waiting =
-          admission.in_flight() + static_cast<double>(admission.queued());
-      const double load = waiting / std::max(admission.limit(), 1);
-      if (best == targets.size() || load < best_load) {
-        best = i;
-        best_load = load;
-      }
-    }
-    return best;
-  }
-
   TargetAdmission::Entry EntryOf(const Running& running) const {
     const RequestContext& context = running.call.context;
     TargetAdmission::Entry entry;
@@ -186,7 +164,7 @@
   }
 
   void StartQueueTimer() {
-    if (queue_timer_runs || !HasQueue()) return;
+    if (queue_timer_runs || !targets.HasQueue()) return;
     queue_timer_runs = true;
     queue_timer->Start(state.Now() + kQueueTick, [this] { OnQueueTimer(); });
   }
@@ -200,12 +178,6 @@
     StartQueueTimer();
   }
 
-  bool HasQueue() const {
-    return std::any_of(targets.begin(), targets.end(), [](const Target& t) {
-      return t.admission->queued() > 0;
-    });
-  }
-
   // ----- Running
 
   void Start(const RunningPtr& running) {
@@ -214,16 +186,25 @@
       Refuse(running, Reason::kWithdrawnKey, "key withdrawn while queued", {});
       return;
     }
+    if (!IssueToken(running)) {
+      Refuse(running, Reason::kOverloaded, "too many context tokens", {});
+      return;
+    }
+    Send(running);
+  }
+
+  bool IssueToken(const RunningPtr& running) {
     ContextTokens::Entry entry;
     entry.context = running->call.context;
     entry.deadline = running->deadline;
     entry.allowance = AttemptAllowance(running->call.extra_attempts);
     running->token = state.tokens.Issue(entry);
-    if (running->token.empty()) {
-      Refuse(running, Reason::kOverloaded, "too many context tokens", {});
-      return;
-    }
+    if (running->token.empty()) return false;
     by_token[running->token] = running;
+    return true;
+  }
+
+  void Send(const RunningPtr& running) {
     running->sent = state.Now();
     const HttpRequest request = ToTargetRequest(running->call, running->token,
                                                 running->deadline - state.Now(),
@@ -270,7 +251,7 @@
     const Instant now = state.Now();
     state.fence.OnAnswered(running->key, now);
     state.target_latency.Add(now - running->sent);
-    Target& target = targets[running->target];
+    AdmittedTarget& target = targets[running->target];
     if (response.header(header::kTargetState) == "draining") {
       target.drains_until = now + kDrainProbe;
       if (response.status == 503) {
@@ -316,7 +297,7 @@
     reply.attempts_exhausted = running->exhausted;
     reply.levels = running->levels;
     if (running->target >= targets.size()) return;
-    const Target& target = targets[running->target];
+    const AdmittedTarget& target = targets[running->target];
     if (target.service != running->call.service) return;
     const std::uint32_t level = target.admission->level(
         running->call.context.organisation, state.Now());
@@ -395,7 +376,7 @@
 
   DataState& state;
   TargetConnections& client;
-  std::vector<Target> targets;
+  LocalTargets targets;
   std::unique_ptr<Timer> queue_timer;
   bool queue_timer_runs = false;
   std::uint64_t last_number = 0;
@@ -407,16 +388,7 @@
 
 TargetCalls::TargetCalls(DataState& state, TargetConnections& client,
                          const std::vector<LocalTarget>& targets)
-    : impl_(std::make_shared<Impl>(state, client)) {
-  for (const LocalTarget& settings : targets) {
-    Target target;
-    target.settings = settings;
-    target.service = ServiceId::FromName(settings.service);
-    target.admission =
-        std::make_unique<TargetAdmission>(TargetAdmission::Init{});
-    impl_->targets.push_back(std::move(target));
-  }
-}
+    : impl_(std::make_shared<Impl>(state, client, targets)) {}
 
 TargetCalls::~TargetCalls() = default;
 
@@ -459,9 +431,7 @@
 }
 
 void TargetCalls::SetLongestQueue(Duration longest_queue) {
-  for (const Target& target : impl_->targets) {
-    target.admission->SetLongestQueue(longest_queue);
-  }
+  impl_->targets.SetLongestQueue(longest_queue);
 }
 
 void TargetCalls::AbortAll() {
@@ -481,20 +451,7 @@
 std::size_t TargetCalls::running() const { return impl_->by_number.size(); }
 
 std::vector<TargetStatus> TargetCalls::Status() const {
-  std::vector<TargetStatus> list;
-  const Instant now = impl_->state.Now();
-  for (const Target& target : impl_->targets) {
-    TargetStatus status;
-    status.name = target.settings.name;
-    status.service = target.settings.service;
-    status.limit = target.admission->limit();
-    status.in_flight = target.admission->in_flight();
-    status.queued = target.admission->queued();
-    status.level = target.admission->level(OrganisationId(), now);
-    status.admission = target.admission->stats();
-    list.push_back(std::move(status));
-  }
-  return list;
+  return impl_->targets.Status(impl_->state.Now());
 }
 
 }  // namespace lentilcross
