Name the steps of an attempt and of the longer wait

OutgoingCalls::Attempt chose a target and called it in one function; the call is a step of its own now. The condition under which a queued call waits longer is named.

--- a/src/call_queue.cpp
+++ b/src/call_queue.cpp
@@ -19,6 +19,10 @@
 // Well below the range of a double.
 constexpr double kLargestGrowth = 1e6;
 
+Duration LongWait(const CallQueue::Waiting& call) {
+  return (call.entry.deadline - call.arrived) / kLongWaitDivisor;
+}
+
 }  // namespace
 
 double CallQueue::Growth(Instant now) const {
@@ -142,10 +146,9 @@
         [&](const Organisation& organisation, const Waiting& call) {
           if (call.entry.deadline < now + needed) return true;
           if (lower_waits || call.arrived >= oldest) return false;
-          const Duration longest =
-              (call.entry.deadline - call.arrived) / kLongWaitDivisor;
-          return organisation.used / organisation.weight >= most_used ||
-                 now - call.arrived > longest;
+          const bool below_share =
+              organisation.used / organisation.weight < most_used;
+          return !below_share || now - call.arrived > LongWait(call);
         },
         expired);
     lower_waits = lower_waits || class_sizes_[level] > 0;
--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -92,10 +92,15 @@
       return;
     }
     if (!again) out->tried.push_back(pick->target);
-    out->target = pick->target;
-    out->host = pick->host;
+    CallTarget(out, pick->target, pick->host, now);
+  }
+
+  void CallTarget(const OutgoingPtr& out, TargetId target, HostId host,
+                  Instant now) {
+    out->target = target;
+    out->host = host;
     out->started = now;
-    state.router.OnStart(pick->target);
+    state.router.OnStart(target);
     PrepareCall(out, now);
     if (out->host == state.self) {
       CallLocally(out);
