Refuse loan terms that the rate book refuses when settings are read

Cause: settings took a loan term of 50 ms to 60 s and a handover of twice the term, but RateBook wants 500 ms to 10 s and one second more. lentilcross check passed settings with which the daemon did not start.

Change: both use the limits in lentilcross/rate.h. The three new rows of settings fail before the change and pass after it.

--- a/include/lentilcross/rate.h
+++ b/include/lentilcross/rate.h
@@ -12,6 +12,16 @@
 
 namespace lentilcross {
 
+inline constexpr Duration kShortestLoanTerm = std::chrono::milliseconds(500);
+inline constexpr Duration kLongestLoanTerm = std::chrono::seconds(10);
+
+/// Least `RateBook::Init::handover` with this loan term. An owner without
+/// contact keeps its quota for half of the handover; within the other half
+/// loans must end and a version must spread.
+constexpr Duration ShortestHandover(Duration loan_term) {
+  return 2 * loan_term + std::chrono::seconds(1);
+}
+
 /// Rate and burst of every organisation at this host: quotas that the
 /// configuration assigns, loans to and from other hosts, and the tokens.
 class RateBook {
--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lentilcross/rate.h"
+
 namespace lentilcross {
 namespace {
 
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -9,9 +9,6 @@
 
 namespace lentilcross {
 
-/// Upper limit of `RateBook::Init::loan_term`.
-inline constexpr Duration kLongestLoanTerm = std::chrono::seconds(10);
-
 /// Most grants that one borrower may hold of one lender.
 inline constexpr std::size_t kMaxLoanLevels = 24;
 
--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -200,13 +200,10 @@
   if (!init.self.valid()) findings.Add("self", "missing");
   if (!init.failure_domain.valid()) findings.Add("failure_domain", "missing");
   if (!init.incarnation.valid()) findings.Add("incarnation", "missing");
-  if (init.loan_term < std::chrono::milliseconds(500) ||
-      init.loan_term > kLongestLoanTerm) {
+  if (init.loan_term < kShortestLoanTerm || init.loan_term > kLongestLoanTerm) {
     findings.Add("loan_term", "out of range");
   }
-  // An owner without contact keeps its quota for half of the handover; loans
-  // must end and a version must spread within the other half.
-  if (init.handover < 2 * init.loan_term + std::chrono::seconds(1)) {
+  if (init.handover < ShortestHandover(init.loan_term)) {
     findings.Add("handover", "too short for the loan term");
   }
   if (!findings.empty()) return boost::leaf::new_error(std::move(findings));
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -9,6 +9,7 @@
 
 #include "hex.h"
 #include "json_reader.h"
+#include "lentilcross/rate.h"
 #include "logging.h"
 
 namespace lentilcross {
@@ -235,13 +236,14 @@
     read("startup_wait_ms", milliseconds(0), seconds(60), daemon.startup_wait);
     read("key_staleness_limit_s", seconds(0), hours(24),
          daemon.key_staleness_limit);
-    read("rate_handover_ms", milliseconds(100), seconds(600),
+    read("rate_handover_ms", ShortestHandover(kShortestLoanTerm), seconds(600),
          daemon.rate_handover);
-    read("loan_term_ms", milliseconds(50), seconds(60), daemon.loan_term);
+    read("loan_term_ms", kShortestLoanTerm, kLongestLoanTerm, daemon.loan_term);
     read("drain_timeout_ms", milliseconds(0), hours(24), daemon.drain_timeout);
-    if (daemon.rate_handover < 2 * daemon.loan_term) {
+    if (daemon.rate_handover < ShortestHandover(daemon.loan_term)) {
       reader_.Report("rate_handover_ms",
-                     "out of range: expected at least twice loan_term_ms");
+                     "out of range: expected at least twice loan_term_ms and "
+                     "one second");
     }
   }
 
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -89,8 +89,10 @@
        "out of range"},
       {"[\"00112233445566778899aabbccddeeff\"]", "[]", "/peer_keys",
        "out of range"},
-      {"\"loan_term_ms\": 1500", "\"loan_term_ms\": 9000", "/rate_handover_ms",
-       "out of range"},
+      // Terms that `RateBook` refuses, so that the daemon would not start.
+      {"1500", "499", "/loan_term_ms", "out of range"},
+      {"1500", "10001", "/loan_term_ms", "out of range"},
+      {"1500", "4501", "/rate_handover_ms", "out of range"},
       {"},\n    \"loan_term_ms\"", "}\n    \"loan_term_ms\"", "16:5", "syntax"},
   };
   return rows;
