Find a silent link to a lender as quickly as one with a call on it

Cause: only calls counted as outstanding on a link. A daemon whose quota lies at another host and that had no call on the link kept asking for loans on a silent link for up to 3 s, and refused callers within rate meanwhile.

--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -37,6 +37,7 @@
   Instant confirmed{};
   Instant busy_since{};
   Instant used{};
+  Instant asked{};  ///< When a request was sent that is answered at once.
   int outstanding = 0;
   std::uint32_t pings = 0;
 };
@@ -183,10 +184,26 @@
   bool SendUp(SocketId id, const PeerMessage& message) {
     const auto it = links.find(id);
     if (it == links.end() || !it->second.up || it->second.closing) return false;
-    it->second.used = steady_clock::now();
+    Link& link = it->second;
+    const Instant now = steady_clock::now();
+    link.used = now;
+    // Callers wait for tokens, so the link has to answer as quickly as for a
+    // call.
+    if (std::holds_alternative<LoanRequest>(message) && !IsAsked(link)) {
+      link.asked = now;
+    }
     return SendRaw(id, message);
   }
 
+  /// Nothing was heard since a request that is answered at once.
+  static bool IsAsked(const Link& link) { return link.asked > link.heard; }
+
+  static Instant BusySince(const Link& link) {
+    if (!IsAsked(link)) return link.busy_since;
+    if (link.outstanding == 0) return link.asked;
+    return std::min(link.asked, link.busy_since);
+  }
+
   void OnFrame(SocketId id, std::string_view frame) {
     const auto it = links.find(id);
     if (it == links.end()) return;
@@ -379,9 +396,9 @@
       if (now - link.opened > init.handshake) Drop(id, DownKind::kBroken);
       return;
     }
-    const bool busy = link.outstanding > 0;
+    const bool busy = link.outstanding > 0 || IsAsked(link);
     const Instant since =
-        busy ? std::max(link.heard, link.busy_since) : link.heard;
+        busy ? std::max(link.heard, BusySince(link)) : link.heard;
     const Duration limit = busy ? init.dead_busy : init.dead_idle;
     if (now - since > limit && transport.SinceLastByte(id) > limit) {
       ++stats.silent;
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -112,6 +112,10 @@
       {"peer", ToText(daemons_[host]->daemon().peer())}};
 }
 
+void Fleet::SetOwnersPerDomain(int owners) {
+  document_["rate_owners_per_domain"] = owners;
+}
+
 void Fleet::SetPeerAddress(const std::string& host, const Endpoint& endpoint) {
   document_["hosts"][host]["peer"] = ToText(endpoint);
 }
--- a/tests/daemon/fleet.h
+++ b/tests/daemon/fleet.h
@@ -52,6 +52,7 @@
   void AddHost(const std::string& host, const std::string& domain,
                std::vector<TargetSpec> targets,
                const std::function<void(DaemonInit&)>& change = {});
+  void SetOwnersPerDomain(int owners);
   /// Publishes another peer address for a host, for example that of a relay.
   void SetPeerAddress(const std::string& host, const Endpoint& endpoint);
   /// Adds a route that is open, unless `fields` says otherwise.
--- a/tests/daemon/silent_link_test.cpp
+++ b/tests/daemon/silent_link_test.cpp
@@ -104,5 +104,43 @@
   BOOST_TEST(fleet.target("back-1").received().size() == 1);
 }
 
+// Guards against callers within rate that are refused for as long as an idle
+// link may be silent, when a host can no longer reach the owner of its quota.
+BOOST_AUTO_TEST_CASE(loan_request_finds_a_silent_link) {
+  Setup setup({{"near", "near", AnswerWith("near")}});
+  Fleet& fleet = setup.fleet;
+  fleet.AddRoute("/near", "near", {{"open", false}});
+  // Some of them have their quota at the other host.
+  std::vector<std::string> keys;
+  for (int i = 0; i < 8; ++i) {
+    keys.push_back("key of organisation " + std::to_string(i));
+    fleet.AddKey("organisation-" + std::to_string(i), keys.back());
+  }
+  fleet.SetOwnersPerDomain(1);
+  fleet.Start();
+  const auto call_all = [&] {
+    bool all = true;
+    for (const std::string& key : keys) {
+      const auto result = fleet.Call("entry", "/near", {{"X-Api-Key", key}});
+      all = result.response.status == 200 && all;
+    }
+    return all;
+  };
+  const auto patience = steady_clock::now() + std::chrono::seconds(15);
+  while (!call_all() && steady_clock::now() < patience) {
+  }
+  BOOST_REQUIRE(call_all());
+  const auto is_silent = [&fleet] {
+    return fleet.at("entry").stats().peers.silent > 0;
+  };
+  BOOST_REQUIRE(!is_silent());
+
+  const auto silenced = steady_clock::now();
+  setup.Silence();
+  while (!is_silent() && steady_clock::now() < patience) call_all();
+  // As above. An idle link is given up after 3 s.
+  BOOST_TEST((steady_clock::now() - silenced < std::chrono::seconds(2)));
+}
+
 }  // namespace
 }  // namespace lentilcross::testing
