Stop the shared fleet of keys_at_entry before static objects end

The fleet was a static object, so its listener ended during the destruction of static objects, and websocketpp then read an error category that was destroyed already. Daemons end within main.

--- a/tests/daemon/keys_at_entry_test.cpp
+++ b/tests/daemon/keys_at_entry_test.cpp
@@ -1,6 +1,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <future>
+#include <memory>
 
 #include "daemon/fleet.h"
 
@@ -45,10 +45,18 @@
   Fleet fleet;
 };
 
-KeyedFleet& Shared() {
-  static KeyedFleet fleet;
-  return fleet;
-}
+/// Stops the fleet before static objects are destroyed: websocketpp reports the
+/// end of a listener with an error category that is one of them.
+struct SharedFleet {
+  SharedFleet() { keyed = std::make_unique<KeyedFleet>(); }
+  ~SharedFleet() { keyed.reset(); }
+
+  static inline std::unique_ptr<KeyedFleet> keyed;
+};
+
+BOOST_TEST_GLOBAL_FIXTURE(SharedFleet);
+
+KeyedFleet& Shared() { return *SharedFleet::keyed; }
 
 void CheckRefused(const web::HttpResponse& response, int status,
                   const std::string& reason) {
