--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -7,6 +7,7 @@
   lentilcross_pipeline STATIC
   src/call_replies.cpp
   src/data_state.cpp
+  src/http_dialect.cpp
   src/http_types.cpp
   src/latency_summary.cpp
   src/local_targets.cpp
@@ -50,6 +51,15 @@
   lentilcross_daemon PUBLIC lentilcross_pipeline lentilcross_http
                             log4cplus::log4cplus Threads::Threads)
 
+# What speaks to the users' platform.
+add_library(
+  lentilcross_platform STATIC
+  platform/adapter.cpp
+  platform/store_client.cpp
+  platform/wire.cpp)
+target_include_directories(lentilcross_platform PUBLIC platform)
+target_link_libraries(lentilcross_platform PUBLIC lentilcross_daemon)
+
 add_executable(
   lentilcross
   src/command.cpp
@@ -61,4 +71,5 @@
   src/main.cpp)
 target_compile_definitions(lentilcross
                            PRIVATE LENTILCROSS_VERSION="${PROJECT_VERSION}")
-target_link_libraries(lentilcross PRIVATE lentilcross_daemon cxxopts::cxxopts)
+target_link_libraries(lentilcross PRIVATE lentilcross_platform
+                                          cxxopts::cxxopts)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -59,6 +59,18 @@
   endforeach()
 endif()
 
+if(TARGET lentilcross_platform)
+  add_library(lentilcross_platform_testing STATIC tests/platform/fake_store.cpp)
+  target_include_directories(lentilcross_platform_testing
+                             PUBLIC ${CMAKE_SOURCE_DIR}/tests)
+  target_link_libraries(lentilcross_platform_testing
+                        PUBLIC lentilcross_platform lentilcross_daemon_testing)
+  file(GLOB platform_tests CONFIGURE_DEPENDS tests/platform/*_test.cpp)
+  foreach(source ${platform_tests})
+    lentilcross_add_test(${source} lentilcross_platform_testing)
+  endforeach()
+endif()
+
 if(TARGET lentilcross)
   add_test(NAME command COMMAND ${CMAKE_SOURCE_DIR}/tests/command_test.sh
                                 $<TARGET_FILE:lentilcross>)
--- a/include/lentilcross/admission.h
+++ b/include/lentilcross/admission.h
@@ -112,6 +112,9 @@
 
   explicit TargetAdmission(const Init& init);
 
+  /// Number of calls that the target serves at once, from the target itself. It
+  /// replaces the estimate. 0: not known.
+  void SetSlots(int slots);
   /// `longest_queue` comes from the preset in force.
   void SetLongestQueue(Duration longest_queue);
   Actions Offer(const Entry& entry, Instant now);
--- a/include/lentilcross/spread.h
+++ b/include/lentilcross/spread.h
@@ -80,6 +80,10 @@
   PlatformAction NextPlatformAction(const Membership& membership, Instant now,
                                     Random& random);
 
+  /// Hosts in place of those of the document, which lists none where targets
+  /// register themselves.
+  void SetHosts(const Configuration& configuration);
+
   /// Ready to serve keyed routes: a configuration is there, and a peer and the
   /// platform have answered or `startup_wait` has passed.
   bool IsReady(Instant now) const;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -43,12 +43,14 @@
   void DropExpired(Instant now, Actions& actions);
   void Observe(Instant now);
   bool has_room() const {
-    return in_flight() < limit.limit() && running.size() < init.max_started;
+    return in_flight() < current_limit() && running.size() < init.max_started;
   }
+  int current_limit() const { return slots > 0 ? slots : limit.limit(); }
   int in_flight() const { return static_cast<int>(running.size()) - waiting; }
   std::size_t queue_bound() const;
 
   Init init;
+  int slots = 0;  ///< 0: not known.
   ConcurrencyLimit limit;
   CallQueue queue;
   LevelEstimator levels{Instant{}};
@@ -123,12 +125,15 @@
 
 void TargetAdmission::Impl::Observe(Instant now) {
   const double base = Seconds(limit.base_latency(now)).count();
-  levels.Update(base > 0 ? limit.estimate() / base : 0, now);
+  const double served = slots > 0 ? slots : limit.estimate();
+  levels.Update(base > 0 ? served / base : 0, now);
 }
 
 TargetAdmission::TargetAdmission(const Init& init)
     : impl_(std::make_shared<Impl>(init)) {}
 
+void TargetAdmission::SetSlots(int slots) { impl_->slots = slots; }
+
 void TargetAdmission::SetLongestQueue(Duration longest_queue) {
   impl_->init.longest_queue = longest_queue;
 }
@@ -216,7 +221,7 @@
   return impl_->levels.level(organisation, now);
 }
 
-int TargetAdmission::limit() const { return impl_->limit.limit(); }
+int TargetAdmission::limit() const { return impl_->current_limit(); }
 
 int TargetAdmission::in_flight() const { return impl_->in_flight(); }
 
--- a/src/command_check.cpp
+++ b/src/command_check.cpp
@@ -4,7 +4,6 @@
 
 #include "command.h"
 #include "lentilcross/configuration.h"
-#include "settings.h"
 
 namespace lentilcross {
 namespace {
@@ -40,7 +39,7 @@
   const std::string text = ReadFile(path, findings);
   if (!findings.empty()) return findings;
   if (IsSettings(text)) {
-    return FindingsOf([&] { return Settings::Parse(text); });
+    return FindingsOf([&] { return LoadSettings(path); });
   }
   return FindingsOf([&] { return Configuration::Parse(text); });
 }
--- a/src/command_daemon.cpp
+++ b/src/command_daemon.cpp
@@ -9,7 +9,6 @@
 #include "daemon.h"
 #include "logging.h"
 #include "operator_server.h"
-#include "settings.h"
 
 namespace lentilcross {
 namespace {
@@ -72,6 +71,10 @@
     operator_server->Update(stats);
   };
   BOOST_LEAF_AUTO(daemon, Daemon::Create(settings.daemon));
+  if (!settings.daemon.peer_authentication) {
+    write_log(LogLevel::kWarn, "peer-authentication-off",
+              {{"effect", "any process that reaches the peer port can join"}});
+  }
   write_log(LogLevel::kInfo, "daemon-started",
             {{"host", settings.daemon.host},
              {"caller", ToString(daemon->caller())},
@@ -94,12 +97,7 @@
 int Start(const std::string& path) {
   return boost::leaf::try_handle_all(
       [&]() -> Result<int> {
-        Findings unreadable;
-        const std::string text = ReadFile(path, unreadable);
-        if (!unreadable.empty()) {
-          return boost::leaf::new_error(std::move(unreadable));
-        }
-        BOOST_LEAF_AUTO(settings, Settings::Parse(text));
+        BOOST_LEAF_AUTO(settings, LoadSettings(path));
         return Serve(std::move(settings));
       },
       [&](const Findings& findings) {
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -43,6 +43,27 @@
 
 }  // namespace
 
+const RouteEntry* Configuration::FindRoute(std::string_view host,
+                                           std::string_view path) const {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(), [](char c) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  });
+  const auto lengths = prefix_lengths.find(name);
+  if (lengths == prefix_lengths.end()) return FindRoute(path);
+  const std::string_view plain = path.substr(0, path.find('?'));
+  for (const std::size_t length : lengths->second) {
+    if (length > plain.size()) continue;
+    const std::string_view prefix = plain.substr(0, length);
+    const auto found =
+        route_index.find(RouteId::FromName(name + std::string(prefix)));
+    if (found == route_index.end()) continue;
+    const RouteEntry& route = routes[found->second];
+    if (route.host == name && route.prefix == prefix) return &route;
+  }
+  return FindRoute(path);
+}
+
 const RouteEntry* Configuration::FindRoute(std::string_view path) const {
   path = path.substr(0, path.find('?'));
   if (routes.empty() || path.empty() || path.front() != '/') return nullptr;
@@ -52,7 +73,7 @@
     const auto found = route_index.find(RouteId::FromName(prefix));
     if (found == route_index.end()) return nullptr;
     const RouteEntry& route = routes[found->second];
-    return route.prefix == prefix ? &route : nullptr;
+    return route.host.empty() && route.prefix == prefix ? &route : nullptr;
   };
   // Tries the segment boundaries within the longest prefix, from the longest.
   std::size_t size = routes.front().prefix.size();
--- a/src/configuration_reader.cpp
+++ b/src/configuration_reader.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -24,6 +25,9 @@
 // Longer requests would hold records of calls and fences for too long.
 constexpr Duration kMaxTimeout = std::chrono::minutes(10);
 constexpr Duration kMaxQueue = std::chrono::minutes(1);
+constexpr Duration kMaxIdle = std::chrono::hours(1);
+constexpr int kMaxPrecedence = 255;
+constexpr std::size_t kMaxSplit = 64;
 // Rounding of decimal shares such as 0.1 ten times.
 constexpr double kShareTolerance = 1e-9;
 constexpr std::string_view kImportances =
@@ -48,6 +52,16 @@
          std::all_of(prefix.begin(), prefix.end(), allowed);
 }
 
+/// Host of a route: a domain name in lower case.
+bool IsHostName(std::string_view host) {
+  const auto allowed = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '.';
+  };
+  return !host.empty() && host.size() <= LENTILCROSS_CONFIG_MAX_NAME &&
+         std::all_of(host.begin(), host.end(), allowed);
+}
+
 std::optional<int> HexDigit(char c) {
   if (c >= '0' && c <= '9') return c - '0';
   if (c >= 'a' && c <= 'f') return c - 'a' + 10;
@@ -118,6 +132,7 @@
     ReadOrganisations();
     ReadKeys();
     ReadPresets();
+    ReadLimits();
     root_.Finish();
     if (!findings_.empty()) return nullptr;
     return result_;
@@ -133,6 +148,11 @@
   void ReadRoutes();
   void ReadRoute(const std::string& name, const Json& value,
                  const std::string& pointer);
+  void ReadRouteService(ObjectReader& reader, const std::string& pointer,
+                        RouteEntry& entry);
+  bool ReadRouteName(const std::string& name, const std::string& pointer,
+                     RouteEntry& entry);
+  void ReadLimits();
   void IndexRoutes();
   void ReadOrganisations();
   void ReadKeys();
@@ -281,29 +301,92 @@
                        const std::string& pointer) {
   RouteEntry entry;
   ObjectReader reader(value, pointer, findings_);
-  Reference(reader, "service", result_->services, entry.service);
+  ReadRouteService(reader, pointer, entry);
   reader.Choice("importance", Presence::kRequired, ParseImportance,
                 kImportances, entry.importance);
   reader.Flag("idempotent", Presence::kRequired, entry.idempotent);
   reader.Flag("open", Presence::kOptional, entry.open);
+  reader.Flag("ticket", Presence::kOptional, entry.ticket);
+  reader.Integer("max_attempts", Presence::kOptional, 1,
+                 1 + LENTILCROSS_CONFIG_MAX_EXTRA_ATTEMPTS, entry.max_attempts);
   reader.Time("timeout_ms", Presence::kRequired, std::chrono::milliseconds(1),
               kMaxTimeout, entry.timeout);
+  reader.Time("target_latency_ms", Presence::kOptional,
+              std::chrono::milliseconds(1), kMaxTimeout, entry.target_latency);
   reader.Finish();
-  if (!IsPrefix(name)) {
+  if (!ReadRouteName(name, pointer, entry)) return;
+  const std::string full = entry.host + entry.prefix;
+  entry.id = RouteId::FromName(full);
+  if (route_names_.AddHash(full, pointer)) {
+    result_->routes.push_back(std::move(entry));
+  }
+}
+
+void Reader::ReadRouteService(ObjectReader& reader, const std::string& pointer,
+                              RouteEntry& entry) {
+  if (reader.Find("split", Presence::kOptional) == nullptr) {
+    Reference(reader, "service", result_->services, entry.service);
+    return;
+  }
+  reader.Elements("split", Presence::kRequired,
+                  [&](const Json& value, const std::string& place) {
+                    WeightedService part;
+                    ObjectReader part_reader(value, place, findings_);
+                    Reference(part_reader, "service", result_->services,
+                              part.service);
+                    part_reader.Number("weight", Presence::kRequired, 0,
+                                       kMaxWeight, part.weight);
+                    part_reader.Finish();
+                    entry.split.push_back(part);
+                  });
+  double sum = 0;
+  for (const WeightedService& part : entry.split) sum += part.weight;
+  if (sum <= 0 || entry.split.size() > kMaxSplit) {
+    findings_.Add(JoinPointer(pointer, "split"),
+                  "out of range: expected 1 to " + std::to_string(kMaxSplit) +
+                      " parts and a weight above 0");
+    return;
+  }
+  entry.service = entry.split.front().service;
+}
+
+/// A name is a path, or a host and a path. Without a host the path matches on
+/// segment boundaries, so that "/stock/" means the same as "/stock". With one
+/// the path matches literally.
+bool Reader::ReadRouteName(const std::string& name, const std::string& pointer,
+                           RouteEntry& entry) {
+  const std::size_t slash = std::min(name.find('/'), name.size());
+  entry.host = name.substr(0, slash);
+  entry.prefix = name.substr(slash);
+  if (!IsPrefix(entry.prefix)) {
     findings_.Add(pointer,
                   "out of range: a route is a path without query, fragment, "
-                  "percent encoding or blanks");
-    return;
+                  "percent encoding or blanks, after an optional host");
+    return false;
+  }
+  if (!entry.host.empty()) {
+    if (IsHostName(entry.host)) return true;
+    findings_.Add(pointer, "out of range: the host is no lower-case name");
+    return false;
   }
-  // "/stock/" means the same prefix as "/stock".
-  entry.prefix = name;
   while (entry.prefix.size() > 1 && entry.prefix.back() == '/') {
     entry.prefix.pop_back();
   }
-  entry.id = RouteId::FromName(entry.prefix);
-  if (route_names_.AddHash(entry.prefix, pointer)) {
-    result_->routes.push_back(std::move(entry));
-  }
+  return true;
+}
+
+void Reader::ReadLimits() {
+  const Json* limits = root_.Find("limits", Presence::kOptional);
+  if (limits == nullptr) return;
+  ObjectReader reader(*limits, "/limits", findings_);
+  if (!reader.is_object()) return;
+  reader.Time("header_timeout_ms", Presence::kOptional,
+              std::chrono::milliseconds(1), kMaxTimeout,
+              result_->limits.header_timeout);
+  reader.Time("idle_timeout_ms", Presence::kOptional,
+              std::chrono::milliseconds(1), kMaxIdle,
+              result_->limits.idle_timeout);
+  reader.Finish();
 }
 
 void Reader::IndexRoutes() {
@@ -313,10 +396,14 @@
               if (a.prefix.size() != b.prefix.size()) {
                 return a.prefix.size() > b.prefix.size();
               }
-              return a.prefix < b.prefix;
+              return std::tie(a.prefix, a.host) < std::tie(b.prefix, b.host);
             });
   for (std::size_t i = 0; i < routes.size(); ++i) {
     result_->route_index.emplace(routes[i].id, i);
+    if (routes[i].host.empty()) continue;
+    auto& lengths = result_->prefix_lengths[routes[i].host];
+    const std::size_t length = routes[i].prefix.size();
+    if (lengths.empty() || lengths.back() != length) lengths.push_back(length);
   }
 }
 
@@ -335,6 +422,9 @@
                       entry.burst);
         reader.Number("weight", Presence::kOptional, kMinWeight, kMaxWeight,
                       entry.weight);
+        reader.Flag("unlimited", Presence::kOptional, entry.unlimited);
+        reader.Integer("precedence", Presence::kOptional, 0, kMaxPrecedence,
+                       entry.precedence);
         reader.Finish();
         if (name == kPublicOrganisation) {
           findings_.Add(pointer,
--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <optional>
 #include <utility>
 
 #include "lentilcross/spread.h"
@@ -58,10 +59,18 @@
         spread(std::move(new_spread)),
         membership({HostId::FromName(init.host), incarnation}),
         random(init.random_seed ^ incarnation.value()),
-        platform(io, {init.platform}, MakePlatformHooks()) {}
+        platform(MakePlatform()) {}
 
-  PlatformClient::Hooks MakePlatformHooks() {
-    PlatformClient::Hooks hooks;
+  std::unique_ptr<PlatformSource> MakePlatform() {
+    if (init.make_platform_source) {
+      return init.make_platform_source(io, MakePlatformHooks());
+    }
+    return std::make_unique<PlatformClient>(
+        io, PlatformClient::Init{init.platform}, MakePlatformHooks());
+  }
+
+  PlatformSource::Hooks MakePlatformHooks() {
+    PlatformSource::Hooks hooks;
     hooks.on_document = [this](const std::string& text,
                                const std::string& source, Instant began) {
       OnDocument(text, source, began);
@@ -75,11 +84,20 @@
       Log(LogLevel::kDebug, "platform-failure", {{"cause", cause}});
       Step();
     };
-    hooks.on_hosts = [this](const std::vector<PlatformClient::HostState>& all) {
+    hooks.on_hosts = [this](const std::vector<PlatformSource::HostState>& all) {
       for (const auto& [name, leaving] : all) {
         if (leaving) OnHostLeaving(HostId::FromName(name));
       }
     };
+    hooks.on_fleet = [this](const Fleet& changed) {
+      fleet = changed;
+      fleet_is_new = true;
+      Publish("registry");
+    };
+    hooks.on_event = [this](const std::string& event,
+                            const std::string& detail) {
+      Log(LogLevel::kInfo, event, {{"detail", detail}});
+    };
     return hooks;
   }
 
@@ -119,7 +137,7 @@
 
   void OnPlatformContact(Instant began) {
     Send(PlatformContact{began});
-    platform.ReadHosts();
+    platform->ReadHosts();
     Step();
   }
 
@@ -170,12 +188,30 @@
     }
   }
 
+  /// Adds the registered targets to the published configuration.
+  std::shared_ptr<const Configuration> Compose(
+      const std::shared_ptr<const Configuration>& published_part) {
+    if (!fleet) return published_part;
+    auto composed = WithFleet(*published_part, *fleet);
+    spread.SetHosts(*composed);
+    Log(LogLevel::kInfo, "configuration-fleet",
+        {{"version", std::to_string(composed->version.value())},
+         {"registry_revision", std::to_string(fleet->revision)},
+         {"registered", std::to_string(fleet->targets.size())},
+         {"hosts", std::to_string(composed->hosts.size())}});
+    return composed;
+  }
+
   /// Passes a new version on to the thread `data` and to peers.
   void Publish(const std::string& source) {
     const auto current = spread.current();
-    if (!current || current->version == published) return;
+    if (!current) return;
+    const bool version_is_new = current->version != published;
+    if (!version_is_new && !fleet_is_new) return;
     published = current->version;
-    Send(current);
+    fleet_is_new = false;
+    Send(Compose(current));
+    if (!version_is_new) return;
     Log(LogLevel::kInfo, "configuration-applied",
         {{"version", std::to_string(current->version.value())},
          {"preset", current->preset.name},
@@ -195,17 +231,17 @@
       readiness = {ready, stale};
       Send(readiness);
     }
-    if (platform.reading()) return;
+    if (platform->reading()) return;
     const auto current = spread.current();
     const Version have = current ? current->version : Version();
     switch (spread.NextPlatformAction(membership, now, random)) {
       case Spread::PlatformAction::kNone:
         return;
       case Spread::PlatformAction::kWatch:
-        platform.Read(have, Spread::Init{}.watch_wait);
+        platform->Read(have, init.watch_wait);
         return;
       case Spread::PlatformAction::kRead:
-        platform.Read(have, Duration::zero());
+        platform->Read(have, Duration::zero());
         return;
     }
   }
@@ -213,6 +249,7 @@
   void OnTick() {
     const Instant now = steady_clock::now();
     SendHeldBack();
+    platform->Tick();
     SendAll(spread.Tick(membership, now, random));
     Step();
     if (now >= next_stats) {
@@ -224,7 +261,7 @@
   void SendStats() {
     auto stats = std::make_shared<ControlStats>();
     stats->spread = spread.stats();
-    stats->platform = platform.stats();
+    stats->platform = platform->stats();
     stats->findings = spread.last_findings();
     stats->to_data_full = out->full();
     Send(std::shared_ptr<const ControlStats>(std::move(stats)));
@@ -246,7 +283,9 @@
   Spread spread;
   Membership membership;
   Random random;
-  PlatformClient platform;
+  std::unique_ptr<PlatformSource> platform;
+  std::optional<Fleet> fleet;  ///< Empty without a registry.
+  bool fleet_is_new = false;
   Ring<ToData>* out = nullptr;
   std::deque<ToData> held_back;
   Version published;
@@ -260,6 +299,10 @@
   spread_init.self = HostId::FromName(init.host);
   spread_init.failure_domain = FailureDomainId::FromName(init.failure_domain);
   spread_init.startup_wait = init.startup_wait;
+  spread_init.readers_per_domain = init.readers_per_domain;
+  spread_init.watch_wait = init.watch_wait;
+  spread_init.confirmation_limit =
+      std::max(spread_init.confirmation_limit, 5 * init.watch_wait);
   spread_init.digest_interval =
       std::min(spread_init.digest_interval, LongestContactInterval(init));
   spread_init.key_staleness_limit = init.key_staleness_limit;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -13,6 +13,10 @@
 namespace lentilcross {
 namespace {
 
+/// Handshakes always carry a proof. Without authentication every process can
+/// make it.
+const char* const kNoPeerKey = "no-peer-authentication";
+
 Incarnation RandomIncarnation() {
   std::uint64_t value = 0;
   while (value == 0) {
@@ -53,7 +57,8 @@
   Ring<ToControl> to_control;
 };
 
-Result<std::unique_ptr<Daemon>> Daemon::Create(const DaemonInit& init) {
+Result<std::unique_ptr<Daemon>> Daemon::Create(DaemonInit init) {
+  if (!init.peer_authentication) init.peer_keys = {kNoPeerKey};
   Findings findings = Check(init);
   if (!findings.empty()) return boost::leaf::new_error(std::move(findings));
   const Incarnation incarnation = RandomIncarnation();
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -11,7 +11,7 @@
 class Daemon {
  public:
   /// Opens the listeners. The error carries `Findings`.
-  static Result<std::unique_ptr<Daemon>> Create(const DaemonInit& init);
+  static Result<std::unique_ptr<Daemon>> Create(DaemonInit init);
   ~Daemon();
 
   Daemon(const Daemon&) = delete;
--- a/src/daemon_init.h
+++ b/src/daemon_init.h
@@ -3,21 +3,19 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "daemon_stats.h"
+#include "endpoint.h"
+#include "http_dialect.h"
 #include "lentilcross/types.h"
+#include "platform_source.h"
 
 namespace lentilcross {
 
-/// TCP address. Port 0 asks the system for a free port.
-struct Endpoint {
-  std::string ip = "127.0.0.1";
-  std::uint16_t port = 0;
-};
-
 /// A target on the daemon's own host.
 struct LocalTarget {
   std::string name;
@@ -71,20 +69,36 @@
   std::string region;
 
   Endpoint caller;
-  Endpoint onward;
+  /// Without it the targets make their onward calls on the listener `caller`.
+  std::optional<Endpoint> onward = Endpoint{};
   Endpoint peer;
 
   std::vector<LocalTarget> targets;
   std::vector<Endpoint> platform;
   std::vector<std::string> peer_keys;  ///< One or two, raw bytes. The first
                                        ///< signs, all are accepted.
-  std::vector<Endpoint> seeds;         ///< Peers to ask at start.
+  /// False where no key can be handed out: any process may join as a peer.
+  bool peer_authentication = true;
+  std::vector<Endpoint> seeds;  ///< Peers to ask at start.
 
   Duration startup_wait = std::chrono::seconds(3);
   Duration key_staleness_limit = std::chrono::seconds(600);  ///< 0: never.
   Duration rate_handover = std::chrono::seconds(10);
   Duration loan_term = std::chrono::seconds(2);
   Duration drain_timeout{};  ///< 0: no limit.
+  /// After a stop request, time in which callers are still served while they
+  /// learn of it.
+  Duration drain_notice{};
+  /// Least range of the jitter on a time to come back.
+  Duration retry_jitter = std::chrono::seconds(2);
+  RetryBudget::Init retry_budget;
+  int readers_per_domain = Spread::Init{}.readers_per_domain;
+  Duration watch_wait = Spread::Init{}.watch_wait;
+
+  HttpDialect dialect;
+  /// Makes the client of the platform; by default one of section 3.2 of the
+  /// design.
+  PlatformSourceFactory make_platform_source;
 
   std::uint64_t random_seed = 0;  ///< 0: from the system's random source.
 
--- a/src/daemon_stats.h
+++ b/src/daemon_stats.h
@@ -55,6 +55,7 @@
   std::uint64_t failed_sent = 0;
   std::uint64_t cancelled = 0;
   std::uint64_t pool_full = 0;
+  std::uint64_t foreign_answers = 0;  ///< Named another request; dropped.
 };
 
 struct PipelineStats {
--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -54,6 +54,18 @@
   return links;
 }
 
+TargetClient::Init ClientInit(const DaemonInit& init) {
+  TargetClient::Init client;
+  client.dialect = init.dialect;
+  return client;
+}
+
+HttpFront::Init FrontInit(const DaemonInit& init) {
+  HttpFront::Init front;
+  front.dialect = init.dialect;
+  return front;
+}
+
 struct Reactor {
   boost::asio::io_context io{1};
   AsioScheduler scheduler{io};
@@ -70,7 +82,7 @@
         state_owner(std::move(data_state)),
         state(*state_owner),
         links(io, LinksInit(init, state), MakeLinkHooks()),
-        client(io, {}),
+        client(io, ClientInit(init)),
         targets(state, client, init.targets),
         outgoing(state, links, targets),
         waits(state, {[this] { SendLoans(); }}),
@@ -81,13 +93,13 @@
                      return ticket_calls.OnCall(peer, std::move(call),
                                                 std::move(done));
                    }),
-        caller_front(io, {}, MakeFrontHooks(entry_pipeline)),
-        onward_front(io, {}, MakeFrontHooks(onward_pipeline)),
+        caller_front(io, FrontInit(init), MakeFrontHooks(entry_pipeline)),
+        onward_front(io, FrontInit(init), MakeFrontHooks(onward_pipeline)),
         entry_pipeline(state, outgoing, waits, RespondOn(caller_front)),
         onward_pipeline(state, outgoing, targets, RespondOn(onward_front)),
         rate_timer(io),
         slow_timer(io),
-        drain(io, init.drain_timeout, MakeDrainHooks()) {
+        drain(io, {init.drain_notice, init.drain_timeout}, MakeDrainHooks()) {
     targets.SetTokenEnded([this](const std::string& token) {
       onward_pipeline.OnTokenEnded(token);
     });
@@ -137,6 +149,7 @@
   Drain::Hooks MakeDrainHooks() {
     Drain::Hooks hooks;
     hooks.begin = [this] { BeginDrain(); };
+    hooks.refuse = [this] { state.serves_notice = false; };
     hooks.running = [this] { return Running(); };
     hooks.abort = [this] {
       Log(LogLevel::kError, "drain-timeout",
@@ -279,7 +292,9 @@
     state.keys.Apply(*configuration);
     state.rate.Apply(configuration, now);
     state.router.Apply(configuration, now);
-    targets.SetLongestQueue(configuration->preset.queue);
+    targets.OnConfiguration(*configuration);
+    caller_front.SetLimits(configuration->limits);
+    onward_front.SetLimits(configuration->limits);
     links.SetAddresses(AddressesOf(*configuration));
     waits.Retry();
   }
@@ -358,6 +373,7 @@
 
   void BeginDrain() {
     state.draining = true;
+    state.serves_notice = init.drain_notice > Duration::zero();
     const Instant now = steady_clock::now();
     state.membership.Leave(now);
     links.Broadcast(LeaveMessage());
@@ -424,7 +440,9 @@
   auto impl =
       std::make_unique<Impl>(init, std::move(reactor), std::move(state));
   BOOST_LEAF_ASSIGN(impl->caller, impl->caller_front.Listen(init.caller));
-  BOOST_LEAF_ASSIGN(impl->onward, impl->onward_front.Listen(init.onward));
+  if (init.onward) {
+    BOOST_LEAF_ASSIGN(impl->onward, impl->onward_front.Listen(*init.onward));
+  }
   BOOST_LEAF_ASSIGN(impl->peer, impl->links.Listen(init.peer));
   for (const Endpoint& seed : init.seeds) impl->links.DialSeed(seed);
   return std::unique_ptr<DataLoop>(new DataLoop(std::move(impl)));
--- a/src/data_state.cpp
+++ b/src/data_state.cpp
@@ -60,9 +60,10 @@
       false,
       false,
       false,
+      false,
       KeyRing(),
       std::move(rate),
-      RetryBudget(RetryBudget::Init{}),
+      RetryBudget(init.retry_budget),
       std::move(tickets),
       DispatchFence(DispatchFence::Init{}),
       std::move(tokens),
@@ -71,7 +72,10 @@
       Membership(member_init),
       Random(init.random_seed != 0 ? init.random_seed : incarnation.value()),
       PipelineStats(),
-      init.on_log});
+      init.on_log,
+      init.dialect,
+      init.targets.empty() ? "" : init.targets.front().service,
+      init.retry_jitter});
 }
 
 }  // namespace lentilcross
--- a/src/data_state.h
+++ b/src/data_state.h
@@ -40,6 +40,8 @@
   bool ready = false;
   bool stale = false;
   bool draining = false;
+  /// While draining: callers have not had time to learn of it and are served.
+  bool serves_notice = false;
 
   KeyRing keys;
   RateBook rate;
@@ -53,6 +55,11 @@
   Random random;
   PipelineStats stats;
   LogHook log;
+  HttpDialect dialect;
+  /// Service of the targets on this host, for the callers here; may be empty.
+  std::string own_service;
+  /// Least range of the jitter on a time to come back.
+  Duration retry_jitter{};
 
   LatencySummary request_latency{};
   LatencySummary target_latency{};
--- a/src/drain.cpp
+++ b/src/drain.cpp
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-Drain::Drain(boost::asio::io_context& io, Duration timeout, Hooks hooks)
-    : timer_(io), timeout_(timeout), hooks_(std::move(hooks)) {}
+Drain::Drain(boost::asio::io_context& io, const Init& init, Hooks hooks)
+    : timer_(io), init_(init), hooks_(std::move(hooks)) {}
 
 void Drain::Begin() {
   if (step_ != Step::kIdle) return;
@@ -25,6 +25,7 @@
   began_ = steady_clock::now();
   last_busy_ = began_;
   hooks_.begin();
+  RefuseAfterNotice(began_);
   Schedule();
 }
 
@@ -51,13 +52,21 @@
   Schedule();
 }
 
+void Drain::RefuseAfterNotice(Instant now) {
+  if (refusing_ || now - began_ < init_.notice) return;
+  refusing_ = true;
+  last_busy_ = now;
+  hooks_.refuse();
+}
+
 void Drain::CheckDraining(Instant now) {
+  RefuseAfterNotice(now);
   if (hooks_.running() > 0) last_busy_ = now;
-  if (now - last_busy_ > kQuiet) {
+  if (refusing_ && now - last_busy_ > kQuiet) {
     step_ = Step::kClosing;
     step_began_ = now;
     hooks_.close();
-  } else if (timeout_ > Duration::zero() && now - began_ > timeout_ &&
+  } else if (init_.timeout > Duration::zero() && now - began_ > init_.timeout &&
              hooks_.running() > 0) {
     status_ = 1;
     step_ = Step::kAborting;
--- a/src/drain.h
+++ b/src/drain.h
@@ -8,12 +8,13 @@
 
 namespace lentilcross {
 
-/// Steps of a graceful shutdown on the thread `data`: refuse new work, wait for
-/// running work, close, end.
+/// Steps of a graceful shutdown on the thread `data`: give notice, refuse new
+/// work, wait for running work, close, end.
 class Drain {
  public:
   struct Hooks {
     std::function<void()> begin;
+    std::function<void()> refuse;  ///< The notice to callers has passed.
     std::function<std::size_t()> running;
     std::function<void()> abort;  ///< The drain timeout passed.
     std::function<void()> close;
@@ -21,8 +22,11 @@
     std::function<void(int status)> end;
   };
 
-  /// `timeout` 0: no limit.
-  Drain(boost::asio::io_context& io, Duration timeout, Hooks hooks);
+  struct Init {
+    Duration notice{};   ///< Callers are still served for so long.
+    Duration timeout{};  ///< 0: no limit.
+  };
+  Drain(boost::asio::io_context& io, const Init& init, Hooks hooks);
 
   /// Ignored if it has begun before.
   void Begin();
@@ -32,15 +36,17 @@
 
   void Schedule();
   void Check();
+  void RefuseAfterNotice(Instant now);
   void CheckDraining(Instant now);
 
   boost::asio::steady_timer timer_;
-  Duration timeout_;
+  Init init_;
   Hooks hooks_;
   Step step_ = Step::kIdle;
   Instant began_{};
   Instant step_began_{};
   Instant last_busy_{};
+  bool refusing_ = false;
   int status_ = 0;
 };
 
--- /dev/null
+++ b/src/fleet.cpp
@@ -0,0 +1,126 @@
+#include "lentilcross/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilcross {
+namespace {
+
+/// Registration of the target that was started last on each host. An earlier
+/// one may stay in the registry for a while after its address was reused.
+std::map<std::string, const RegisteredTarget*> NewestOfHosts(
+    const Fleet& fleet) {
+  std::map<std::string, const RegisteredTarget*> newest;
+  for (const auto& [name, target] : fleet.targets) {
+    const RegisteredTarget*& kept = newest[target.host];
+    if (kept == nullptr || kept->started_ms <= target.started_ms) {
+      kept = &target;
+    }
+  }
+  return newest;
+}
+
+}  // namespace
+
+std::shared_ptr<const Configuration> WithFleet(
+    const Configuration& configuration, const Fleet& fleet) {
+  auto merged = std::make_shared<Configuration>(configuration);
+  const auto newest = NewestOfHosts(fleet);
+  for (const auto& [name, target] : fleet.targets) {
+    if (newest.at(target.host) != &target) continue;
+    const auto service =
+        merged->services.find(ServiceId::FromName(target.service));
+    const auto domain = FailureDomainId::FromName(target.failure_domain);
+    const bool known = service != merged->services.end() &&
+                       merged->failure_domains.count(domain) != 0;
+    if (!known) continue;
+    const HostId host = HostId::FromName(target.host);
+    merged->hosts.emplace(host,
+                          HostEntry{host, target.host, domain, target.peer});
+    TargetEntry entry;
+    entry.id = TargetId::FromName(name);
+    entry.name = name;
+    entry.host = host;
+    entry.slots = target.slots;
+    entry.draining = target.draining;
+    entry.warm_at = target.warm_at;
+    service->second.targets.push_back(std::move(entry));
+  }
+  return merged;
+}
+
+bool FleetTracker::InGrace(Instant now) const {
+  return lost_ || now < grace_until_;
+}
+
+bool FleetTracker::OnSnapshot(Fleet fleet, Instant now) {
+  if (known_ && fleet.revision < fleet_.revision) return false;
+  std::vector<std::string> gone;
+  for (const auto& [name, target] : fleet_.targets) {
+    if (fleet.targets.count(name) == 0) gone.push_back(name);
+  }
+  bool changed = !known_;
+  for (auto& [name, target] : fleet.targets) {
+    changed |= OnRegistered(std::move(target), fleet.revision, now);
+  }
+  for (const std::string& name : gone) changed |= Remove(name, now);
+  fleet_.revision = fleet.revision;
+  known_ = true;
+  return changed;
+}
+
+bool FleetTracker::OnRegistered(RegisteredTarget target, std::uint64_t revision,
+                                Instant /*now*/) {
+  fleet_.revision = std::max(fleet_.revision, revision);
+  lapsed_.erase(target.name);
+  const auto [it, added] = fleet_.targets.try_emplace(target.name);
+  stats_.added += added ? 1 : 0;
+  const RegisteredTarget& old = it->second;
+  const bool same = !added && old.service == target.service &&
+                    old.host == target.host && old.slots == target.slots &&
+                    old.failure_domain == target.failure_domain &&
+                    old.peer == target.peer && old.draining == target.draining;
+  it->second = std::move(target);
+  return !same;
+}
+
+bool FleetTracker::OnRemoved(const std::string& name, std::uint64_t revision,
+                             Instant now) {
+  fleet_.revision = std::max(fleet_.revision, revision);
+  return Remove(name, now);
+}
+
+bool FleetTracker::Remove(const std::string& name, Instant now) {
+  const auto it = fleet_.targets.find(name);
+  if (it == fleet_.targets.end()) return false;
+  // A target that announced its end did not lapse.
+  if (InGrace(now) && !it->second.draining) {
+    if (lapsed_.emplace(name, grace_until_).second) ++stats_.lapsed;
+    return false;
+  }
+  fleet_.targets.erase(it);
+  lapsed_.erase(name);
+  ++stats_.removed;
+  return true;
+}
+
+void FleetTracker::OnContactLost(Instant /*now*/) {
+  if (!lost_) ++stats_.outages;
+  lost_ = true;
+}
+
+void FleetTracker::OnContact(Instant now) {
+  if (!lost_) return;
+  lost_ = false;
+  grace_until_ = now + init_.lapse_grace;
+  for (auto& [name, until] : lapsed_) until = grace_until_;
+}
+
+bool FleetTracker::Tick(Instant now) {
+  if (InGrace(now) || lapsed_.empty()) return false;
+  const auto lapsed = std::exchange(lapsed_, {});
+  for (const auto& [name, until] : lapsed) Remove(name, now);
+  return true;
+}
+
+}  // namespace lentilcross
--- a/src/http_front.cpp
+++ b/src/http_front.cpp
@@ -9,9 +9,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "lentilcross/config.h"
 #include "lentilcross/findings.h"
@@ -24,6 +26,7 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using std::chrono::steady_clock;
 
 /// Wait after a failed accept, for example when no file descriptor is left.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
@@ -32,8 +35,19 @@
 constexpr Duration kLinger = std::chrono::seconds(1);
 constexpr std::size_t kDiscardBytes = 4096;
 
+/// Time limits of connections are checked this often.
+constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
+
 using Parser = http::request_parser<http::string_body>;
 
+/// One request of a connection, in the order of arrival.
+struct Exchange {
+  HttpFront::ExchangeId id = 0;
+  bool keep_alive = true;
+  bool head = false;
+  std::optional<HttpResponse> response;
+};
+
 struct Session {
   explicit Session(tcp::socket socket) : stream(std::move(socket)) {}
 
@@ -41,12 +55,16 @@
   beast::flat_buffer buffer;
   std::optional<Parser> parser;
   http::response<http::string_body> response;
-  HttpFront::ExchangeId exchange = 0;
-  bool keep_alive = true;
-  bool head = false;
+  std::deque<Exchange> exchanges;  ///< Not completely answered.
+  bool reading = false;
+  bool body_begun = false;  ///< The header of a request was read.
   bool writing = false;
+  bool last_read = false;  ///< No request is read after this one.
   bool lingering = false;  ///< The last response is sent.
   std::uint64_t number = 0;
+  Instant read_since{};  ///< Start of the wait for the request being read.
+  Instant write_since{};
+  Instant linger_since{};
 
   /// True if a part of a request has arrived, also if it is not read yet.
   bool HasBytes() const {
@@ -90,7 +108,8 @@
         init(front_init),
         hooks(std::move(front_hooks)),
         acceptor(context),
-        accept_timer(context) {}
+        accept_timer(context),
+        sweep_timer(context) {}
 
   void Accept() {
     acceptor.async_accept(
@@ -126,11 +145,16 @@
     Read(session);
   }
 
+  // ----- Requests
+
+  /// Reads the next request, while earlier ones are still being answered.
   void Read(const SessionPtr& session) {
     session->parser.emplace();
     session->parser->body_limit(LENTILCROSS_CONFIG_MAX_BODY);
     session->parser->header_limit(kMaxHeaderBytes);
-    session->stream.expires_after(init.idle);
+    session->body_begun = false;
+    session->read_since = steady_clock::now();
+    session->reading = true;
     ReadHeader(session);
   }
 
@@ -138,7 +162,10 @@
     http::async_read_header(
         session->stream, session->buffer, *session->parser,
         [self = shared_from_this(), session](error_code error, std::size_t) {
-          if (error == asio::error::operation_aborted && session->HasBytes()) {
+          if (session->lingering) {
+            self->Discard(session);
+          } else if (error == asio::error::operation_aborted &&
+                     session->HasBytes()) {
             self->ReadHeader(session);
           } else if (error) {
             self->OnReadFailed(session, error);
@@ -149,11 +176,13 @@
   }
 
   void ReadBody(const SessionPtr& session) {
-    session->stream.expires_after(init.read);
+    session->body_begun = true;
     http::async_read(
         session->stream, session->buffer, *session->parser,
         [self = shared_from_this(), session](error_code error, std::size_t) {
-          if (error) {
+          if (session->lingering) {
+            self->Discard(session);
+          } else if (error) {
             self->OnReadFailed(session, error);
           } else {
             self->OnRequest(session);
@@ -162,41 +191,59 @@
   }
 
   void OnReadFailed(const SessionPtr& session, const error_code& error) {
+    session->reading = false;
     if (!IsBodyTooLarge(error) && !IsMalformed(error)) {
-      End(session);
+      OnCallerGone(session);
       return;
     }
     ++stats.malformed;
-    Begin(session);
-    session->keep_alive = false;
+    session->last_read = true;
     Refusal refusal;
     refusal.reason =
         IsBodyTooLarge(error) ? Reason::kPayloadTooLarge : Reason::kBadRequest;
     refusal.outcome = Outcome::kNotRun;
     refusal.detail = error.message();
-    Write(session, MakeProblem(refusal));
+    const ExchangeId id = Begin(session, /*keep_alive=*/false, /*head=*/false);
+    Respond(id, MakeProblem(refusal, init.dialect));
   }
 
-  void Begin(const SessionPtr& session) {
-    session->exchange = ++last_exchange;
-    exchanges[session->exchange] = session;
+  ExchangeId Begin(const SessionPtr& session, bool keep_alive, bool head) {
+    const ExchangeId id = ++last_exchange;
+    session->exchanges.push_back({id, keep_alive, head, std::nullopt});
+    exchanges[id] = session;
+    return id;
   }
 
   void OnRequest(const SessionPtr& session) {
     ++stats.requests;
-    session->stream.expires_never();
-    session->keep_alive = session->parser->keep_alive();
-    session->head = session->parser->get().method() == http::verb::head;
-    Begin(session);
-    WatchForClose(session, session->exchange);
-    hooks.on_request(session->exchange, ToRequest(*session->parser));
+    session->reading = false;
+    const bool keep_alive = session->parser->keep_alive();
+    session->last_read = !keep_alive;
+    const bool head = session->parser->get().method() == http::verb::head;
+    HttpRequest request = ToRequest(*session->parser);
+    const ExchangeId id = Begin(session, keep_alive, head);
+    // The read of the next request also tells when the caller closes.
+    ReadMore(session);
+    hooks.on_request(id, std::move(request));
+  }
+
+  /// Reads on unless the caller has to wait.
+  void ReadMore(const SessionPtr& session) {
+    if (session->reading || session->lingering) return;
+    if (!session->last_read && session->exchanges.size() < init.max_pipelined) {
+      Read(session);
+    } else if (!session->exchanges.empty()) {
+      WatchForClose(session, session->exchanges.front().id);
+    }
   }
 
   void WatchForClose(const SessionPtr& session, ExchangeId exchange) {
     session->stream.socket().async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this(), session, exchange](error_code error) {
-          if (error || session->exchange != exchange) return;
+          const bool over = session->exchanges.empty() ||
+                            session->exchanges.front().id != exchange;
+          if (error || over || session->reading) return;
           char byte = 0;
           const int handle = session->stream.socket().native_handle();
           const auto count = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -207,49 +254,90 @@
         });
   }
 
+  /// The caller closed its side. It has no use for the responses that it waits
+  /// for.
   void OnCallerGone(const SessionPtr& session) {
-    const ExchangeId exchange = session->exchange;
-    const auto it = exchanges.find(exchange);
-    // Once the response is being written, the write reports the failure.
-    if (it == exchanges.end() || session->writing) return;
-    ++stats.disconnects;
-    exchanges.erase(it);
+    const auto open = std::exchange(session->exchanges, {});
+    if (!open.empty()) ++stats.disconnects;
     End(session);
-    hooks.on_abandoned(exchange);
+    for (const Exchange& exchange : open) {
+      exchanges.erase(exchange.id);
+      if (!exchange.response) hooks.on_abandoned(exchange.id);
+    }
+  }
+
+  // ----- Responses
+
+  void Respond(ExchangeId id, HttpResponse response) {
+    const auto it = exchanges.find(id);
+    if (it == exchanges.end()) return;
+    const SessionPtr session = it->second;
+    for (Exchange& exchange : session->exchanges) {
+      if (exchange.id == id) exchange.response = std::move(response);
+    }
+    WriteNext(session);
   }
 
-  void Write(const SessionPtr& session, HttpResponse response) {
+  void WriteNext(const SessionPtr& session) {
+    if (session->writing || session->exchanges.empty()) return;
+    Exchange& exchange = session->exchanges.front();
+    if (!exchange.response) return;
     auto& message = session->response;
     message = {};
     session->writing = true;
     message.version(11);
-    message.result(static_cast<unsigned>(response.status));
-    for (auto& [name, value] : response.headers) message.insert(name, value);
-    message.body() = std::move(response.body);
-    const bool keep_alive = session->keep_alive && !draining;
+    message.result(static_cast<unsigned>(exchange.response->status));
+    for (auto& [name, value] : exchange.response->headers) {
+      message.insert(name, value);
+    }
+    message.body() = std::move(exchange.response->body);
+    const bool keep_alive = exchange.keep_alive && !draining;
     message.keep_alive(keep_alive);
-    if (!session->head) message.prepare_payload();
-    session->stream.expires_after(init.read);
+    if (!exchange.head) message.prepare_payload();
+    session->write_since = steady_clock::now();
     http::async_write(session->stream, message,
                       [self = shared_from_this(), session, keep_alive](
                           error_code error, std::size_t) {
-                        self->OnWritten(session, !error && keep_alive);
+                        self->OnWritten(session, error, keep_alive);
                       });
   }
 
-  void OnWritten(const SessionPtr& session, bool again) {
-    exchanges.erase(session->exchange);
-    session->exchange = 0;
+  void OnWritten(const SessionPtr& session, const error_code& error,
+                 bool keep_alive) {
     session->writing = false;
-    if (again && acceptor.is_open()) {
-      Read(session);
-      return;
+    if (session->exchanges.empty()) return;  // the caller is gone
+    exchanges.erase(session->exchanges.front().id);
+    session->exchanges.pop_front();
+    if (error) {
+      OnCallerGone(session);
+    } else if (!keep_alive) {
+      FinishSession(session);
+    } else if (session->exchanges.empty() && !acceptor.is_open() &&
+               !(session->reading && session->HasBytes())) {
+      FinishSession(session);
+    } else {
+      WriteNext(session);
+      ReadMore(session);
     }
+  }
+
+  /// Ends the connection after its last response. Requests behind that count as
+  /// not read for the caller, so that what they started is stopped.
+  void FinishSession(const SessionPtr& session) {
     session->lingering = true;
+    const auto unanswered = std::exchange(session->exchanges, {});
     error_code ignored;
     session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    session->stream.expires_after(kLinger);
-    Discard(session);
+    session->linger_since = steady_clock::now();
+    if (session->reading) {
+      session->stream.cancel();  // its handler goes on with Discard
+    } else {
+      Discard(session);
+    }
+    for (const Exchange& exchange : unanswered) {
+      exchanges.erase(exchange.id);
+      if (!exchange.response) hooks.on_abandoned(exchange.id);
+    }
   }
 
   /// Reads until the caller closes: a close with unread bytes would reset the
@@ -273,6 +361,41 @@
     sessions.erase(session->number);
   }
 
+  // ----- Time limits
+
+  void StartSweep() {
+    sweep_timer.expires_after(kSweepInterval);
+    sweep_timer.async_wait([weak = weak_from_this()](error_code error) {
+      auto self = weak.lock();
+      if (error || !self) return;
+      self->Sweep();
+      if (self->acceptor.is_open() || !self->sessions.empty()) {
+        self->StartSweep();
+      }
+    });
+  }
+
+  void Sweep() {
+    const Instant now = steady_clock::now();
+    std::vector<SessionPtr> late;
+    for (const auto& [number, session] : sessions) {
+      if (IsLate(*session, now)) late.push_back(session);
+    }
+    for (const SessionPtr& session : late) OnCallerGone(session);
+  }
+
+  bool IsLate(const Session& session, Instant now) const {
+    if (session.lingering) return now - session.linger_since > kLinger;
+    if (session.writing && now - session.write_since > init.write) return true;
+    if (!session.reading) return false;
+    const Duration waited = now - session.read_since;
+    const bool begun = session.body_begun || session.parser->got_some();
+    if (begun) return waited > init.idle + init.read;
+    return session.exchanges.empty() && waited > init.idle;
+  }
+
+  // ----- Shutdown
+
   void Close() {
     AcceptWaiting();
     error_code ignored;
@@ -281,8 +404,8 @@
     // Bytes may have been read already although the handler has not run yet.
     // Cancelling the reads tells: only those without bytes end.
     for (const auto& [number, session] : sessions) {
-      const bool waits = session->exchange == 0 && !session->lingering &&
-                         !session->parser->is_header_done();
+      const bool waits = session->exchanges.empty() && !session->lingering &&
+                         session->reading && !session->body_begun;
       if (waits) session->stream.cancel();
     }
   }
@@ -303,6 +426,7 @@
     error_code ignored;
     acceptor.close(ignored);
     accept_timer.cancel();
+    sweep_timer.cancel();
     auto open = std::exchange(sessions, {});
     for (const auto& [number, session] : open) {
       session->stream.socket().close(ignored);
@@ -315,6 +439,7 @@
   Hooks hooks;
   tcp::acceptor acceptor;
   asio::steady_timer accept_timer;
+  asio::steady_timer sweep_timer;
   HttpFrontStats stats;
   bool draining = false;
   std::uint64_t last_session = 0;
@@ -345,13 +470,17 @@
     return boost::leaf::new_error(findings);
   }
   impl_->Accept();
+  impl_->StartSweep();
   return Endpoint{endpoint.ip, acceptor.local_endpoint().port()};
 }
 
 void HttpFront::Respond(ExchangeId exchange, HttpResponse response) {
-  const auto it = impl_->exchanges.find(exchange);
-  if (it == impl_->exchanges.end()) return;
-  impl_->Write(it->second, std::move(response));
+  impl_->Respond(exchange, std::move(response));
+}
+
+void HttpFront::SetLimits(const CallerLimits& limits) {
+  impl_->init.idle = limits.idle_timeout;
+  impl_->init.read = limits.header_timeout;
 }
 
 void HttpFront::BeginDrain() { impl_->draining = true; }
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -7,10 +7,12 @@
 
 #include "daemon_init.h"
 #include "http_types.h"
+#include "lentilcross/configuration.h"
 
 namespace lentilcross {
 
-/// One HTTP listener for callers or for the targets on this host.
+/// One HTTP listener for callers or for the targets on this host. Requests that
+/// a caller sends before the first is answered are handled side by side.
 class HttpFront {
  public:
   /// Handle of one request that waits for its response. 0 is invalid.
@@ -18,8 +20,12 @@
 
   struct Init {
     std::size_t max_connections = 16384;
-    Duration idle = std::chrono::seconds(60);  ///< Between two requests.
-    Duration read = std::chrono::seconds(10);  ///< For one whole request.
+    Duration idle = std::chrono::seconds(60);   ///< Between two requests.
+    Duration read = std::chrono::seconds(10);   ///< For one whole request.
+    Duration write = std::chrono::seconds(10);  ///< For one response.
+    /// Requests of one connection that are read before the first is answered.
+    std::size_t max_pipelined = 16;
+    HttpDialect dialect;
   };
   struct Hooks {
     std::function<void(ExchangeId, HttpRequest&&)> on_request;
@@ -32,7 +38,10 @@
 
   /// The error carries `Findings`.
   Result<Endpoint> Listen(const Endpoint& endpoint);
-  /// Answers a request. Ignored if the caller is gone.
+  /// From the configuration; for requests that are not read yet.
+  void SetLimits(const CallerLimits& limits);
+  /// Answers a request. Ignored if the caller is gone. Responses leave in the
+  /// order of the requests of their connection.
   void Respond(ExchangeId exchange, HttpResponse response);
   /// From now on each response closes its connection.
   void BeginDrain();
--- a/src/http_types.cpp
+++ b/src/http_types.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <nlohmann/json.hpp>
 
 namespace lentilcross {
 namespace {
@@ -104,28 +103,4 @@
          IsWritable(request.headers);
 }
 
-HttpResponse MakeProblem(const Refusal& refusal) {
-  const int status = HttpStatus(refusal.reason);
-  const std::string reason(ToString(refusal.reason));
-  const nlohmann::json problem = {
-      {"type", "urn:lentilcross:" + reason},
-      {"title", reason},
-      {"status", status},
-      {"reason", reason},
-      {"outcome", std::string(ToString(refusal.outcome))},
-      {"detail", refusal.detail}};
-  HttpResponse response;
-  response.status = status;
-  response.headers.emplace_back(header::kContentType,
-                                "application/problem+json");
-  if (refusal.retry_after > Duration::zero()) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(refusal.retry_after).count();
-    response.headers.emplace_back(header::kRetryAfter, std::to_string(seconds));
-  }
-  response.body =
-      problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  return response;
-}
-
 }  // namespace lentilcross
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -45,7 +45,4 @@
 bool IsWritable(const HttpRequest& request);
 bool IsWritable(const Headers& headers);
 
-/// `application/problem+json` for a refusal.
-HttpResponse MakeProblem(const Refusal& refusal);
-
 }  // namespace lentilcross
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -376,6 +376,11 @@
   for (const auto& [name, value] : object_->items()) {
     if (!IsKnown(name)) ReportUnknown(name);
   }
+  FinishExtensible();
+}
+
+void ObjectReader::FinishExtensible() {
+  if (object_ == nullptr) return;
   for (const std::string& name : missing_) Report(name, "missing field");
 }
 
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -90,6 +90,9 @@
   void Report(std::string_view name, std::string text);
   /// Call once, after all members.
   void Finish();
+  /// In place of `Finish`, for an object to which others may add members:
+  /// reports only those that are missing.
+  void FinishExtensible();
 
   bool is_object() const { return object_ != nullptr; }
   const std::string& pointer() const { return pointer_; }
--- a/src/local_targets.cpp
+++ b/src/local_targets.cpp
@@ -46,6 +46,25 @@
   }
 }
 
+void LocalTargets::Follow(const Configuration& configuration, HostId self) {
+  for (AdmittedTarget& target : targets_) {
+    const auto service = configuration.services.find(target.service);
+    if (service == configuration.services.end()) continue;
+    const auto& entries = service->second.targets;
+    const auto own =
+        std::find_if(entries.begin(), entries.end(),
+                     [self](const TargetEntry& e) { return e.host == self; });
+    if (own == entries.end()) {
+      // A target that was registered and no longer is has left.
+      target.leaving = !target.registered_name.empty();
+      continue;
+    }
+    target.registered_name = own->name;
+    target.leaving = own->draining;
+    target.admission->SetSlots(own->slots);
+  }
+}
+
 std::vector<TargetStatus> LocalTargets::Status(Instant now) const {
   std::vector<TargetStatus> list;
   for (const AdmittedTarget& target : targets_) {
--- a/src/local_targets.h
+++ b/src/local_targets.h
@@ -16,6 +16,9 @@
   std::unique_ptr<TargetAdmission> admission;
   /// The target said that it drains; it is not asked again before.
   Instant drains_until{};
+  /// Registration of the target; see `Follow`.
+  std::string registered_name;
+  bool leaving = false;
 };
 
 /// The targets on this host. Runs on the thread `data`.
@@ -30,6 +33,8 @@
   std::size_t LeastLoaded(ServiceId service) const;
   bool HasQueue() const;
   void SetLongestQueue(Duration longest_queue);
+  /// Takes over what the targets of this host say of themselves in a registry.
+  void Follow(const Configuration& configuration, HostId self);
   std::vector<TargetStatus> Status(Instant now) const;
 
  private:
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -259,6 +259,9 @@
               client.cancelled);
   out.Counter("target_pool_full_total", "Requests refused: pool full.",
               client.pool_full);
+  out.Counter("target_foreign_answers_total",
+              "Answers dropped because they named another request.",
+              client.foreign_answers);
 }
 
 void WriteTargets(Writer& out, const std::vector<TargetStatus>& targets) {
--- a/src/onward_pipeline.cpp
+++ b/src/onward_pipeline.cpp
@@ -61,12 +61,14 @@
   }
 
   void CheckRoute(const OnwardPtr& onward, const ContextTokens::Entry& entry) {
-    onward->route = onward->configuration->FindRoute(onward->request.path());
+    onward->route = onward->configuration->FindRoute(
+        onward->request.header("Host"), onward->request.path());
     if (onward->route == nullptr) {
       Refuse(onward, Reason::kUnknownRoute, "no route for this path");
       return;
     }
-    const auto timeout = TimeoutOf(onward->request, *onward->route);
+    const auto timeout =
+        TimeoutOf(onward->request, *onward->route, state.dialect);
     if (!timeout) {
       Refuse(onward, Reason::kBadRequest, "malformed Request-Timeout-Ms");
       return;
@@ -117,9 +119,9 @@
     OutgoingRequest request;
     request.context = onward->context;
     request.route = onward->route->id;
-    request.service = onward->route->service;
+    request.service = PickService(*onward->route, state.random);
     request.request = std::move(onward->request);
-    RemoveOwnHeaders(request.request.headers);
+    RemoveOwnHeaders(request.request.headers, state.dialect);
     request.deadline = onward->deadline;
     request.idempotent = onward->route->idempotent;
     if (auto* entry = state.tokens.Find(onward->token)) {
@@ -159,7 +161,7 @@
     } else {
       ++state.stats.refused[static_cast<std::size_t>(reply.refusal.reason)];
     }
-    End(onward, ToHttpResponse(std::move(reply)));
+    End(onward, ToHttpResponse(std::move(reply), state.dialect));
   }
 
   void End(const OnwardPtr& onward, HttpResponse response) {
--- a/src/peer_choice.cpp
+++ b/src/peer_choice.cpp
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-std::vector<HostId> PeerChoice::Pick(const PublishedDocument* document,
+std::vector<HostId> PeerChoice::Pick(const HostTable* table,
                                      const Membership& membership, int count,
                                      Random& random) const {
   std::vector<HostId> picked;
@@ -32,7 +32,7 @@
       if (good) picked.push_back(host);
     }
   };
-  if (document == nullptr) {
+  if (table == nullptr) {
     std::vector<HostId> known;
     for (const auto& [host, member] : membership.members()) {
       known.push_back(host);
@@ -42,25 +42,25 @@
     return picked;
   }
   if (Below(static_cast<std::size_t>(outside_every), random) == 0) {
-    pick_from(document->hosts, 1);
+    pick_from(table->hosts, 1);
   }
-  const auto own = document->hosts_by_domain.find(failure_domain);
-  if (own != document->hosts_by_domain.end()) {
+  const auto own = table->hosts_by_domain.find(failure_domain);
+  if (own != table->hosts_by_domain.end()) {
     pick_from(own->second, count - static_cast<int>(picked.size()));
   }
   // A small failure domain: fill up from all.
   if (static_cast<int>(picked.size()) < count) {
-    pick_from(document->hosts, count - static_cast<int>(picked.size()));
+    pick_from(table->hosts, count - static_cast<int>(picked.size()));
   }
   return picked;
 }
 
-bool PeerChoice::IsReader(const PublishedDocument& document,
+bool PeerChoice::IsReader(const HostTable& table, Version version_number,
                           const Membership& membership, int readers) const {
-  const auto own = document.hosts_by_domain.find(failure_domain);
-  if (own == document.hosts_by_domain.end()) return false;
+  const auto own = table.hosts_by_domain.find(failure_domain);
+  if (own == table.hosts_by_domain.end()) return false;
   if (!Contains(own->second, self)) return false;
-  const std::uint64_t version = document.version().value();
+  const std::uint64_t version = version_number.value();
   const std::uint64_t own_score = CombineHash(self.value(), version);
   int above = 0;
   int usable_above = 0;
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -22,8 +22,8 @@
   return std::chrono::duration_cast<milliseconds>(duration);
 }
 
-std::vector<PlatformClient::HostState> ParseHosts(const std::string& text) {
-  std::vector<PlatformClient::HostState> hosts;
+std::vector<PlatformSource::HostState> ParseHosts(const std::string& text) {
+  std::vector<PlatformSource::HostState> hosts;
   const auto document = nlohmann::json::parse(text, nullptr, false);
   if (!document.is_object()) return hosts;
   const auto list = document.find("hosts");
--- /dev/null
+++ b/src/platform_source.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon_stats.h"
+#include "endpoint.h"
+#include "lentilcross/fleet.h"
+#include "lentilcross/types.h"
+
+namespace lentilcross {
+
+/// Reads what the platform publishes: the configuration document, the list of
+/// leaving hosts and, if it has one, the registry of targets. Runs on the
+/// thread `control`.
+class PlatformSource {
+ public:
+  struct HostState {
+    std::string name;
+    bool leaving = false;
+  };
+  struct Hooks {
+    /// `source` is the "ip:port" that answered; `began` is when it was asked.
+    std::function<void(const std::string& text, const std::string& source,
+                       Instant began)>
+        on_document;
+    std::function<void(Instant began)> on_unchanged;
+    std::function<void(const std::string& cause)> on_failure;
+    std::function<void(const std::vector<HostState>&)> on_hosts;
+    /// The registry changed.
+    std::function<void(const Fleet&)> on_fleet;
+    /// A dependency was lost or is back, or an entry cannot be read.
+    std::function<void(const std::string& event, const std::string& detail)>
+        on_event;
+  };
+
+  virtual ~PlatformSource() = default;
+
+  /// Asks for a version above `after`; the platform waits up to `wait` for one.
+  /// Ends with one of the hooks. Only one read runs at a time.
+  virtual void Read(Version after, Duration wait) = 0;
+  virtual bool reading() const = 0;
+  /// Asks for the list of hosts. A failure is only counted: the list is a hint.
+  virtual void ReadHosts() = 0;
+  /// Called every 100 ms.
+  virtual void Tick() {}
+
+  virtual const PlatformClientStats& stats() const = 0;
+};
+
+using PlatformSourceFactory = std::function<std::unique_ptr<PlatformSource>(
+    boost::asio::io_context& io, PlatformSource::Hooks hooks)>;
+
+}  // namespace lentilcross
--- a/src/published_document.cpp
+++ b/src/published_document.cpp
@@ -35,15 +35,7 @@
     return nullptr;
   }
   document->checksum = HashName(document->cbor);
-  for (const auto& [id, host] : configuration->hosts) {
-    document->hosts.push_back(id);
-  }
-  // Hash tables differ in order between builds; peer choice must not.
-  std::sort(document->hosts.begin(), document->hosts.end());
-  for (const HostId id : document->hosts) {
-    const FailureDomainId domain = configuration->hosts.at(id).failure_domain;
-    document->hosts_by_domain[domain].push_back(id);
-  }
+  static_cast<HostTable&>(*document) = HostTable::Of(*configuration);
   document->configuration = std::move(configuration);
   return document;
 }
@@ -63,6 +55,18 @@
 
 }  // namespace
 
+HostTable HostTable::Of(const Configuration& configuration) {
+  HostTable table;
+  for (const auto& [id, host] : configuration.hosts) table.hosts.push_back(id);
+  // Hash tables differ in order between builds; peer choice must not.
+  std::sort(table.hosts.begin(), table.hosts.end());
+  for (const HostId id : table.hosts) {
+    const FailureDomainId domain = configuration.hosts.at(id).failure_domain;
+    table.hosts_by_domain[domain].push_back(id);
+  }
+  return table;
+}
+
 std::string MakePatch(const PublishedDocument& from,
                       const PublishedDocument& to) {
   return ToCbor(
--- a/src/published_document.h
+++ b/src/published_document.h
@@ -15,14 +15,20 @@
 
 namespace lentilcross {
 
+/// Hosts in an order that is the same in every process.
+struct HostTable {
+  std::vector<HostId> hosts;
+  std::unordered_map<FailureDomainId, std::vector<HostId>> hosts_by_domain;
+
+  static HostTable Of(const Configuration& configuration);
+};
+
 /// One valid published document. The DOM is not kept: it takes about ten times
 /// the memory of the CBOR, and is needed only when the version changes.
-struct PublishedDocument {
+struct PublishedDocument : HostTable {
   std::string cbor;            ///< Of the document with sorted members.
   std::uint64_t checksum = 0;  ///< XXH64 of `cbor`.
   std::shared_ptr<const Configuration> configuration;
-  std::vector<HostId> hosts;
-  std::unordered_map<FailureDomainId, std::vector<HostId>> hosts_by_domain;
 
   Version version() const { return configuration->version; }
 };
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -48,7 +48,7 @@
     entry->request = std::move(request);
     entry->configuration = state.configuration;
     entries[exchange] = entry;
-    if (state.draining) {
+    if (state.draining && !state.serves_notice) {
       Refuse(entry, Reason::kDraining, "daemon is draining");
     } else if (!state.ready || !entry->configuration) {
       Refuse(entry, Reason::kNotReady, "no confirmed configuration yet");
@@ -60,14 +60,16 @@
   }
 
   void CheckRoute(const EntryPtr& entry) {
-    entry->route = entry->configuration->FindRoute(entry->request.path());
+    entry->route = entry->configuration->FindRoute(
+        entry->request.header("Host"), entry->request.path());
     if (entry->route == nullptr) {
       Refuse(entry, Reason::kUnknownRoute, "no route for this path");
       return;
     }
-    const auto timeout = TimeoutOf(entry->request, *entry->route);
+    const auto timeout =
+        TimeoutOf(entry->request, *entry->route, state.dialect);
     if (!timeout) {
-      Refuse(entry, Reason::kBadRequest, "malformed Request-Timeout-Ms");
+      Refuse(entry, Reason::kBadRequest, "malformed time limit");
       return;
     }
     entry->deadline = state.Now() + *timeout;
@@ -77,7 +79,8 @@
       Refuse(entry, Reason::kOverloaded, "the preset refuses this importance");
       return;
     }
-    if (entry->route->idempotent || CheckTicket(entry)) ChargeRate(entry);
+    const bool needs_ticket = !entry->route->idempotent && entry->route->ticket;
+    if (!needs_ticket || CheckTicket(entry)) ChargeRate(entry);
   }
 
   bool CheckKey(const EntryPtr& entry) {
@@ -85,11 +88,12 @@
       Refuse(entry, Reason::kConfigurationStale, "configuration is stale");
       return false;
     }
-    if (CountHeaders(entry->request.headers, header::kApiKey) > 1) {
-      Refuse(entry, Reason::kBadRequest, "more than one X-Api-Key");
+    if (CountHeaders(entry->request.headers, state.dialect.api_key) > 1) {
+      Refuse(entry, Reason::kBadRequest, "more than one key");
       return false;
     }
-    const auto found = state.keys.Find(entry->request.header(header::kApiKey));
+    const auto found =
+        state.keys.Find(entry->request.header(state.dialect.api_key));
     if (found.reason != Reason::kNone) {
       Refuse(entry, found.reason, "no valid key");
       return false;
@@ -144,7 +148,7 @@
                           "repeat the request with this Idempotency-Key");
     const std::string ticket =
         state.tickets.Issue(entry->context.organisation, state.Now());
-    HttpResponse response = MakeProblem(reply.refusal);
+    HttpResponse response = MakeProblem(reply.refusal, state.dialect);
     response.headers.emplace_back(header::kIdempotencyKey, ticket);
     End(entry, reply, std::move(response));
   }
@@ -164,7 +168,7 @@
   // ----- Rate and entry gate
 
   void ChargeRate(const EntryPtr& entry) {
-    if (entry->route->open) {
+    if (entry->route->open || IsUnlimited(*entry)) {
       PassGate(entry);  // organisation 0 has no rate
       return;
     }
@@ -176,6 +180,12 @@
     if (!entry->ended && handle != 0) entry->wait = handle;
   }
 
+  static bool IsUnlimited(const Entry& entry) {
+    const auto& organisations = entry.configuration->organisations;
+    const auto it = organisations.find(entry.context.organisation);
+    return it != organisations.end() && it->second.unlimited;
+  }
+
   void OnCharged(const EntryPtr& entry, const RateWaits::Result& result) {
     entry->wait = 0;
     if (entry->ended) return;
@@ -210,17 +220,25 @@
     Send(entry);
   }
 
+  static int ExtraAttempts(const Entry& entry) {
+    if (entry.route->max_attempts > 0) return entry.route->max_attempts - 1;
+    return entry.configuration->preset.extra_attempts;
+  }
+
   void Send(const EntryPtr& entry) {
     OutgoingRequest request;
     request.context = entry->context;
     request.route = entry->route->id;
-    request.service = entry->route->service;
+    request.service = PickService(*entry->route, state.random);
     request.request = std::move(entry->request);
-    RemoveOwnHeaders(request.request.headers);
+    RemoveOwnHeaders(request.request.headers, state.dialect);
+    if (!state.dialect.caller_service.empty()) {
+      request.request.headers.emplace_back(state.dialect.caller_service,
+                                           state.own_service);
+    }
     request.deadline = entry->deadline;
     request.idempotent = entry->route->idempotent;
-    request.extra_attempts =
-        static_cast<std::uint16_t>(entry->configuration->preset.extra_attempts);
+    request.extra_attempts = static_cast<std::uint16_t>(ExtraAttempts(*entry));
     request.key = entry->key;
     request.issuer = entry->issuer;
     if (entry->issuer) ++state.stats.tickets_forwarded;
@@ -248,7 +266,7 @@
                          reply.levels, state.Now());
     }
     AdviseRetry(reply.refusal);
-    HttpResponse response = ToHttpResponse(Reply(reply));
+    HttpResponse response = ToHttpResponse(Reply(reply), state.dialect);
     End(entry, reply, std::move(response));
   }
 
@@ -260,7 +278,8 @@
       case Reason::kDraining:
       case Reason::kConfigurationStale:
       case Reason::kNoTarget:
-        refusal.retry_after = AddJitter(refusal.retry_after, state.random);
+        refusal.retry_after =
+            AddJitter(refusal.retry_after, state.retry_jitter, state.random);
         return;
       default:
         return;
--- a/src/request_rules.cpp
+++ b/src/request_rules.cpp
@@ -1,7 +1,6 @@
 #include "request_rules.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -12,12 +11,6 @@
 namespace lentilcross {
 namespace {
 
-constexpr Duration kMinJitter = std::chrono::seconds(2);
-
-constexpr std::array<std::string_view, 5> kOwnHeaders = {
-    header::kApiKey, header::kContext, header::kTimeout, header::kOrganisation,
-    header::kImportance};
-
 std::optional<int> ParsePositive(std::string_view text) {
   int value = 0;
   const char* end = text.data() + text.size();
@@ -29,8 +22,9 @@
 }  // namespace
 
 std::optional<Duration> TimeoutOf(const HttpRequest& request,
-                                  const RouteEntry& route) {
-  const std::string_view text = request.header(header::kTimeout);
+                                  const RouteEntry& route,
+                                  const HttpDialect& dialect) {
+  const std::string_view text = request.header(dialect.timeout);
   if (text.empty()) return route.timeout;
   const auto value = ParsePositive(text);
   if (!value) return std::nullopt;
@@ -56,24 +50,43 @@
   return MakeResponse(200, "application/json", body.dump());
 }
 
-void RemoveOwnHeaders(Headers& headers) {
-  for (const std::string_view name : kOwnHeaders) RemoveHeader(headers, name);
+void RemoveOwnHeaders(Headers& headers, const HttpDialect& dialect) {
+  for (const std::string* name :
+       {&dialect.api_key, &dialect.context, &dialect.timeout,
+        &dialect.organisation, &dialect.importance, &dialect.caller_service,
+        &dialect.expected_target}) {
+    if (!name->empty()) RemoveHeader(headers, *name);
+  }
 }
 
-HttpResponse ToHttpResponse(Reply&& reply) {
-  if (!IsAnswer(reply)) return MakeProblem(reply.refusal);
+HttpResponse ToHttpResponse(Reply&& reply, const HttpDialect& dialect) {
+  if (!IsAnswer(reply)) return MakeProblem(reply.refusal, dialect);
   HttpResponse response;
   response.status = reply.status;
   response.headers = std::move(reply.headers);
   response.body = std::move(reply.body);
-  RemoveHeader(response.headers, header::kContext);
+  if (!dialect.context.empty()) {
+    RemoveHeader(response.headers, dialect.context);
+  }
   return response;
 }
 
-Duration AddJitter(Duration retry_after, Random& random) {
-  const Duration range = std::max(retry_after, kMinJitter);
+Duration AddJitter(Duration retry_after, Duration least, Random& random) {
+  const Duration range = std::max(retry_after, least);
   std::uniform_int_distribution<Duration::rep> jitter(0, range.count());
   return retry_after + Duration(jitter(random));
 }
 
+ServiceId PickService(const RouteEntry& route, Random& random) {
+  double sum = 0;
+  for (const WeightedService& part : route.split) sum += part.weight;
+  if (sum <= 0) return route.service;
+  double left = std::uniform_real_distribution<double>(0, sum)(random);
+  for (const WeightedService& part : route.split) {
+    if (left < part.weight) return part.service;
+    left -= part.weight;
+  }
+  return route.split.back().service;
+}
+
 }  // namespace lentilcross
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -22,6 +22,8 @@
 constexpr int kMostProbes = 1;
 // Weight of a target at the begin of its slow start.
 constexpr double kSmallestWeight = 0.1;
+// Weight of a target that says it is still slow after its start.
+constexpr double kColdWeight = 0.5;
 
 bool Contains(const std::vector<TargetId>& targets, TargetId target) {
   return std::find(targets.begin(), targets.end(), target) != targets.end();
@@ -105,7 +107,8 @@
       if (restarted) target.ramp_start = now;
       target.incarnation = member->incarnation;
     }
-    if (target.ejected || !membership.IsUsable(target.entry.host)) continue;
+    const bool out = target.ejected || target.entry.draining;
+    if (out || !membership.IsUsable(target.entry.host)) continue;
     if (!Contains(tried, target.entry.id)) usable_.push_back(i);
   }
 }
@@ -115,7 +118,8 @@
                                   const std::vector<TargetId>& tried,
                                   Instant now) {
   for (Target& target : service.targets) {
-    const bool due = target.ejected && now >= target.ejected_until &&
+    const bool due = target.ejected && !target.entry.draining &&
+                     now >= target.ejected_until &&
                      target.probes_out < kMostProbes;
     if (!due || Contains(tried, target.entry.id)) continue;
     if (membership.IsUsable(target.entry.host)) return &target;
@@ -133,6 +137,7 @@
         Seconds(now - target.ramp_start) / Seconds(init_.slow_start);
     weight = std::clamp(grown, kSmallestWeight, 1.0);
   }
+  if (now < target.entry.warm_at) weight = std::min(weight, kColdWeight);
   weight *= std::max(kSmallestWeight, 1 - target.shed_ratio);
   return (target.outstanding + 1) / weight;
 }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -53,8 +53,12 @@
 // Reads one settings document into `Settings`.
 class SettingsReader {
  public:
-  SettingsReader(const nlohmann::json& document, Findings& findings)
-      : findings_(findings), reader_(document, "", findings) {}
+  SettingsReader(const nlohmann::json& document,
+                 const Settings::AdapterReader& read_adapter,
+                 Findings& findings)
+      : findings_(findings),
+        reader_(document, "", findings),
+        read_adapter_(read_adapter) {}
 
   Settings Read() {
     if (!reader_.is_object()) return {};
@@ -73,6 +77,7 @@
     ReadEndpoints("seeds", Presence::kOptional, daemon.seeds);
     ReadLog();
     ReadTimes();
+    ReadAdapter();
     reader_.Finish();
     return settings_;
   }
@@ -97,9 +102,7 @@
   void ReadListeners() {
     DaemonInit& daemon = settings_.daemon;
     ReadListener("caller", daemon.caller);
-    if (ReadListener("onward", daemon.onward) && !IsLoopback(daemon.onward)) {
-      reader_.Report("onward", "out of range: expected a loopback address");
-    }
+    ReadOnward();
     if (ReadListener("peer", daemon.peer)) {
       settings_.peer_advertise = ToString(daemon.peer);
     }
@@ -110,6 +113,19 @@
     }
   }
 
+  void ReadOnward() {
+    Endpoint onward;
+    settings_.daemon.onward.reset();
+    bool on_caller = false;
+    reader_.Flag("onward_on_caller", Presence::kOptional, on_caller);
+    if (on_caller) return;
+    if (!ReadListener("onward", onward)) return;
+    settings_.daemon.onward = onward;
+    if (!IsLoopback(onward)) {
+      reader_.Report("onward", "out of range: expected a loopback address");
+    }
+  }
+
   bool ReadListener(std::string_view name, Endpoint& out) {
     if (!ReadEndpoint(name, Presence::kRequired, out)) return false;
     if (!listeners_.insert(ToString(out)).second) {
@@ -165,6 +181,14 @@
   }
 
   void ReadPeerKeys() {
+    reader_.Choice("peer_authentication", Presence::kOptional, ParseSwitch,
+                   "required, none", settings_.daemon.peer_authentication);
+    if (!settings_.daemon.peer_authentication) {
+      if (reader_.Find("peer_keys", Presence::kOptional) != nullptr) {
+        reader_.Report("peer_keys", "unused without peer_authentication");
+      }
+      return;
+    }
     std::size_t count = 0;
     reader_.Elements(
         "peer_keys", Presence::kRequired,
@@ -199,6 +223,22 @@
     keys.push_back(std::move(*key));
   }
 
+  static std::optional<bool> ParseSwitch(std::string_view text) {
+    if (text == "required") return true;
+    if (text == "none") return false;
+    return std::nullopt;
+  }
+
+  void ReadAdapter() {
+    const auto* adapter = reader_.Find("adapter", Presence::kOptional);
+    if (adapter == nullptr) return;
+    if (!read_adapter_) {
+      reader_.Report("adapter", "unknown: no platform adapter is built in");
+      return;
+    }
+    read_adapter_(*adapter, "/adapter", settings_.daemon, findings_);
+  }
+
   void ReadLog() {
     const auto* log = reader_.Find("log", Presence::kOptional);
     if (log == nullptr) return;
@@ -249,6 +289,7 @@
 
   Findings& findings_;
   ObjectReader reader_;
+  const Settings::AdapterReader& read_adapter_;
   Settings settings_;
   std::set<std::string> listeners_;
   std::set<std::string> target_names_;
@@ -271,11 +312,12 @@
   return content.str();
 }
 
-Result<Settings> Settings::Parse(std::string_view text) {
+Result<Settings> Settings::Parse(std::string_view text,
+                                 const AdapterReader& read_adapter) {
   Findings findings;
   const auto document = ParseJsonDocument(text, findings);
   if (!document) return boost::leaf::new_error(std::move(findings));
-  Settings settings = SettingsReader(*document, findings).Read();
+  Settings settings = SettingsReader(*document, read_adapter, findings).Read();
   if (!findings.empty()) return boost::leaf::new_error(std::move(findings));
   return settings;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
@@ -22,9 +24,16 @@
   std::string peer_advertise;  ///< "ip:port" under which peers reach `peer`.
   LogSettings log;
 
+  /// Reads the member `adapter`, which belongs to a platform adapter.
+  using AdapterReader =
+      std::function<void(const nlohmann::json& adapter,
+                         const std::string& place, DaemonInit&, Findings&)>;
+
   /// Parses JSON with comments. The error carries all `Findings`; none of them
-  /// contains a peer key.
-  static Result<Settings> Parse(std::string_view text);
+  /// contains a peer key. Without `read_adapter` the member `adapter` is
+  /// refused.
+  static Result<Settings> Parse(std::string_view text,
+                                const AdapterReader& read_adapter = {});
 };
 
 std::string ToString(const Endpoint& endpoint);
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -53,6 +53,10 @@
   bool IsReady(Instant now) const;
   bool IsStale(Instant now) const;
 
+  void SetHosts(const Configuration& configuration) {
+    announced_hosts_ = HostTable::Of(configuration);
+  }
+
   const DocumentHistory& history() const { return history_; }
   const Findings& findings() const { return findings_; }
   const Stats& stats() const { return stats_; }
@@ -73,8 +77,15 @@
   void RecordPeerAnswer(Version version);
   Digest MakeDigest(Instant now) const;
 
+  /// Null before the first configuration.
+  const HostTable* hosts() const {
+    if (announced_hosts_) return &*announced_hosts_;
+    return history_.current().get();
+  }
+
   Init init_;
   Stats stats_;
+  std::optional<HostTable> announced_hosts_;  ///< From the registry.
   std::shared_ptr<DocumentStore> documents_;
   DocumentHistory history_;
   PlatformSchedule schedule_;
@@ -263,13 +274,13 @@
                                 Random& random) {
   Start(now);
   OutgoingList out;
-  const auto* document = history_.current().get();
+  const HostTable* table = hosts();
   if (pushed_ < history_.version()) out = Push(membership, now, random);
   if (now < next_digest_) return out;
 
   const Duration interval =
-      document == nullptr ? std::min(kStartupInterval, init_.digest_interval)
-                          : init_.digest_interval;
+      history_.current() ? init_.digest_interval
+                         : std::min(kStartupInterval, init_.digest_interval);
   // The first digest of a process falls at a random place in the interval.
   const bool first = next_digest_ == Instant{};
   const double part =
@@ -278,7 +289,7 @@
   Digest digest = MakeDigest(now);
   digest.members = membership.NextUpdates();
   for (const HostId host :
-       peers_.Pick(document, membership, init_.digest_fanout, random)) {
+       peers_.Pick(table, membership, init_.digest_fanout, random)) {
     out.push_back({host, digest});
   }
   return out;
@@ -290,9 +301,8 @@
   ConfigDelta delta;
   const bool small = history_.MakeDelta(pushed_, kMaxPushedDelta, delta);
   pushed_ = history_.version();
-  const auto* document = history_.current().get();
   for (const HostId host :
-       peers_.Pick(document, membership, init_.push_fanout, random)) {
+       peers_.Pick(hosts(), membership, init_.push_fanout, random)) {
     if (small) {
       ++stats_.deltas_sent;
       out.push_back({host, delta});
@@ -306,12 +316,12 @@
 Spread::PlatformAction Spread::Impl::NextPlatformAction(
     const Membership& membership, Instant now, Random& random) {
   Start(now);
-  const auto* document = history_.current().get();
+  const HostTable* table = hosts();
   const bool reader =
-      document != nullptr &&
-      peers_.IsReader(*document, membership, init_.readers_per_domain);
-  const std::size_t hosts = document == nullptr ? 0 : document->hosts.size();
-  const auto action = schedule_.Next(reader, hosts, now, random);
+      table != nullptr && peers_.IsReader(*table, history_.version(),
+                                          membership, init_.readers_per_domain);
+  const std::size_t count = table == nullptr ? 0 : table->hosts.size();
+  const auto action = schedule_.Next(reader, count, now, random);
   if (action != PlatformAction::kNone) ++stats_.platform_reads;
   return action;
 }
@@ -348,12 +358,13 @@
 }
 
 void Spread::Impl::RecordPeer(HostId from, Instant now) {
-  if (!history_.current()) return;
-  const auto& hosts = history_.current()->configuration->hosts;
-  const auto found = hosts.find(from);
-  if (found == hosts.end()) return;
-  if (found->second.failure_domain != init_.failure_domain) {
-    outside_contact_ = now;
+  const HostTable* table = hosts();
+  if (table == nullptr) return;
+  for (const auto& [domain, members] : table->hosts_by_domain) {
+    if (domain == init_.failure_domain) continue;
+    if (std::binary_search(members.begin(), members.end(), from)) {
+      outside_contact_ = now;
+    }
   }
 }
 
@@ -418,6 +429,9 @@
                                                   Instant now, Random& random) {
   return impl_->NextPlatformAction(membership, now, random);
 }
+void Spread::SetHosts(const Configuration& configuration) {
+  impl_->SetHosts(configuration);
+}
 bool Spread::IsReady(Instant now) const { return impl_->IsReady(now); }
 bool Spread::IsStale(Instant now) const { return impl_->IsStale(now); }
 std::shared_ptr<const Configuration> Spread::current() const {
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -111,10 +111,16 @@
       return;
     }
     running->target = target;
-    if (targets[target].drains_until > now) {
+    if (targets[target].drains_until > now || targets[target].leaving) {
       Refuse(running, Reason::kDraining, "the target is draining", {});
       return;
     }
+    // Its name guards against another target at the same address.
+    if (!state.dialect.expected_target.empty() &&
+        targets[target].registered_name.empty()) {
+      Refuse(running, Reason::kNotReady, "the target is not registered", {});
+      return;
+    }
     StartDeadline(running);
     Apply(target, targets[target].admission->Offer(EntryOf(*running), now));
     StartQueueTimer();
@@ -186,7 +192,7 @@
       Refuse(running, Reason::kWithdrawnKey, "key withdrawn while queued", {});
       return;
     }
-    if (!IssueToken(running)) {
+    if (!state.dialect.context.empty() && !IssueToken(running)) {
       Refuse(running, Reason::kOverloaded, "too many context tokens", {});
       return;
     }
@@ -206,9 +212,10 @@
 
   void Send(const RunningPtr& running) {
     running->sent = state.Now();
-    const HttpRequest request = ToTargetRequest(running->call, running->token,
-                                                running->deadline - state.Now(),
-                                                state.configuration.get());
+    const HttpRequest request = ToTargetRequest(
+        running->call, running->token, targets[running->target].registered_name,
+        running->deadline - state.Now(), state.configuration.get(),
+        state.dialect);
     running->http = client.Start(
         targets[running->target].settings.address, request,
         [this, key = running->key] {
@@ -261,6 +268,9 @@
         return;
       }
     }
+    if (!state.dialect.not_run.empty() && JudgeExecution(running, response)) {
+      return;
+    }
     Reply reply;
     reply.number = running->call.number;
     reply.status = static_cast<std::uint16_t>(response.status);
@@ -270,6 +280,31 @@
     Finish(running, std::move(reply), sample);
   }
 
+  /// Ends the call if the target did not run it, or if its status would claim
+  /// so without proof.
+  bool JudgeExecution(const RunningPtr& running, const HttpResponse& response) {
+    const std::string status = std::to_string(response.status);
+    if (!response.header(state.dialect.not_run).empty() ||
+        response.status == 421) {
+      const bool busy = response.status == 503 || response.status == 429;
+      Finish(
+          running,
+          NotRun(running->call, busy ? Reason::kOverloaded : Reason::kNoTarget,
+                 "the target did not run it: status " + status),
+          Sample::kRefused);
+      return true;
+    }
+    const bool claims_not_run = response.status == 503 ||
+                                response.status == 429 ||
+                                response.status == 408;
+    if (!claims_not_run) return false;
+    Finish(running,
+           Unknown(running->call, Reason::kTargetFailed,
+                   "the target answered with status " + status),
+           Sample::kFailed);
+    return true;
+  }
+
   /// Ends a call that was not written and, by the fence, never will be.
   void Refuse(const RunningPtr& running, Reason reason,
               const std::string& detail, Duration retry_after,
@@ -434,6 +469,11 @@
   impl_->targets.SetLongestQueue(longest_queue);
 }
 
+void TargetCalls::OnConfiguration(const Configuration& configuration) {
+  SetLongestQueue(configuration.preset.queue);
+  impl_->targets.Follow(configuration, impl_->state.self);
+}
+
 void TargetCalls::AbortAll() {
   std::vector<RunningPtr> all;
   for (const auto& [number, running] : impl_->by_number) all.push_back(running);
--- a/src/target_calls.h
+++ b/src/target_calls.h
@@ -48,6 +48,8 @@
   void SetTokenEnded(std::function<void(const std::string& token)> hook);
 
   void SetLongestQueue(Duration longest_queue);
+  /// A new configuration or a change of the registered targets.
+  void OnConfiguration(const Configuration& configuration);
   /// Answers everything that runs or waits; used when a drain is cut short.
   void AbortAll();
 
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -2,12 +2,14 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -26,14 +28,23 @@
 
 using Parser = http::response_parser<http::string_body>;
 
-std::string Serialize(const HttpRequest& request, const Endpoint& address) {
+/// Time before the end that a target states for idle connections in which a
+/// request could cross its close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+
+std::string Serialize(const HttpRequest& request, const Endpoint& address,
+                      bool forward_host) {
   std::string text;
   text.reserve(512 + request.body.size());
   text.append(request.method).append(" ").append(request.target);
-  text.append(" HTTP/1.1\r\nHost: ").append(address.ip).append(":");
-  text.append(std::to_string(address.port)).append("\r\n");
+  text.append(" HTTP/1.1\r\n");
+  const bool has_host = forward_host && !request.header("Host").empty();
+  if (!has_host) {
+    text.append("Host: ").append(address.ip).append(":");
+    text.append(std::to_string(address.port)).append("\r\n");
+  }
   for (const auto& [name, value] : request.headers) {
-    if (EqualHeaderName(name, "Host")) continue;
+    if (!has_host && EqualHeaderName(name, "Host")) continue;
     text.append(name).append(": ").append(value).append("\r\n");
   }
   if (!request.body.empty() || request.method == "POST" ||
@@ -80,6 +91,8 @@
   std::string out;
   bool head = false;
   bool idle = false;
+  std::string request_id;                 ///< Of the request in progress.
+  Instant usable_until = Instant::max();  ///< While idle.
   std::uint64_t idle_periods = 0;
   TargetClient::Handle handle = 0;
   std::function<bool()> may_write;
@@ -113,7 +126,10 @@
     }
     if (!reused) connection = Open(pool, key);
     connection->handle = handle;
-    connection->out = Serialize(request, address);
+    connection->out = Serialize(request, address, init.dialect.forward_host);
+    if (!init.dialect.request_id.empty()) {
+      connection->request_id = request.header(init.dialect.request_id);
+    }
     connection->head = request.method == "HEAD";
     connection->may_write = std::move(may_write);
     connection->done = std::move(done);
@@ -132,7 +148,9 @@
       ConnectionPtr connection = pool.idle.back();
       pool.idle.pop_back();
       connection->idle = false;
-      if (!HasUnexpectedInput(connection->socket)) return connection;
+      const bool fresh =
+          std::chrono::steady_clock::now() < connection->usable_until;
+      if (fresh && !HasUnexpectedInput(connection->socket)) return connection;
       Close(connection);
     }
     return nullptr;
@@ -232,8 +250,20 @@
       Read(connection);
       return;
     }
+    if (IsForAnother(connection)) {
+      // A late extra answer; the one that is waited for follows.
+      ++stats.foreign_answers;
+      Read(connection);
+      return;
+    }
+    if (const char* fault = FaultOf(parser)) {
+      Fail(connection, Failure::kSent, fault);
+      return;
+    }
     // Bytes after the answer could be taken for the answer to a later request.
     const bool reusable = parser.keep_alive() && connection->buffer.size() == 0;
+    connection->usable_until =
+        std::chrono::steady_clock::now() + IdleLimit(parser);
     HttpResponse response = ToResponse(parser);
     auto done = Detach(connection);
     if (reusable) {
@@ -244,6 +274,54 @@
     done({Failure::kNone, std::move(response), {}});
   }
 
+  bool IsForAnother(const ConnectionPtr& connection) const {
+    const std::string& name = init.dialect.request_id;
+    if (name.empty()) return false;
+    const auto& message = connection->parser->get();
+    const auto echoed = message.find(name);
+    return echoed != message.end() && echoed->value() != connection->request_id;
+  }
+
+  /// Null if the answer is genuine and whole.
+  const char* FaultOf(const Parser& parser) const {
+    const HttpDialect& dialect = init.dialect;
+    if (dialect.signature.empty()) return nullptr;
+    const auto& message = parser.get();
+    if (!dialect.not_run.empty() &&
+        message.find(dialect.not_run) != message.end()) {
+      return nullptr;
+    }
+    if (message.find(http::field::content_encoding) != message.end()) {
+      return "the answer has an encoding that was not asked for";
+    }
+    const bool good = message.result_int() < 300;
+    if (!good) return nullptr;
+    if (message.find(dialect.signature) == message.end()) {
+      return "the answer carries no signature";
+    }
+    if (!dialect.request_id.empty() &&
+        message.find(dialect.request_id) == message.end()) {
+      return "the answer does not name its request";
+    }
+    return nullptr;
+  }
+
+  /// Idle time for which the target keeps the connection, less a margin.
+  Duration IdleLimit(const Parser& parser) const {
+    const auto& message = parser.get();
+    const auto field = message.find(http::field::keep_alive);
+    if (field == message.end()) return init.longest_idle;
+    const std::string_view value(field->value().data(), field->value().size());
+    const std::size_t at = value.find("timeout=");
+    if (at == std::string_view::npos) return init.longest_idle;
+    int seconds = 0;
+    const char* begin = value.data() + at + std::string_view("timeout=").size();
+    std::from_chars(begin, value.data() + value.size(), seconds);
+    const Duration stated = std::chrono::seconds(seconds);
+    return std::min(init.longest_idle,
+                    std::max(Duration::zero(), stated - kIdleMargin));
+  }
+
   void Park(const ConnectionPtr& connection) {
     Pool& pool = pools[connection->key];
     if (pool.idle.size() >= init.max_idle) {
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -19,6 +19,10 @@
   struct Init {
     std::size_t max_connections = 1024;  ///< For each address.
     std::size_t max_idle = 256;          ///< For each address.
+    /// Idle time after which a connection is not used again; a target that
+    /// states a shorter one closes it sooner.
+    Duration longest_idle = std::chrono::seconds(60);
+    HttpDialect dialect;
   };
   TargetClient(boost::asio::io_context& io, const Init& init);
   ~TargetClient() override;
--- a/src/target_request.cpp
+++ b/src/target_request.cpp
@@ -4,27 +4,41 @@
 
 namespace lentilcross {
 
+namespace {
+
+/// Empty if the call belongs to no organisation and the dialect then names
+/// none.
+std::string OrganisationOf(const Call& call, const Configuration* configuration,
+                           const HttpDialect& dialect) {
+  if (configuration != nullptr) {
+    const auto it =
+        configuration->organisations.find(call.context.organisation);
+    if (it != configuration->organisations.end()) return it->second.name;
+  }
+  if (!dialect.name_public_organisation) return {};
+  return std::string(kPublicOrganisation);
+}
+
+}  // namespace
+
 HttpRequest ToTargetRequest(const Call& call, const std::string& token,
+                            const std::string& expected_target,
                             Duration remaining,
-                            const Configuration* configuration) {
+                            const Configuration* configuration,
+                            const HttpDialect& dialect) {
   HttpRequest request{call.method, call.path, call.headers, call.body};
   const auto remaining_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
-  std::string organisation(kPublicOrganisation);
-  if (configuration != nullptr) {
-    const auto it =
-        configuration->organisations.find(call.context.organisation);
-    if (it != configuration->organisations.end()) {
-      organisation = it->second.name;
-    }
-  }
-  request.headers.emplace_back(header::kContext, token);
-  request.headers.emplace_back(
-      header::kTimeout,
+  const auto add = [&request](const std::string& name, std::string value) {
+    if (name.empty() || value.empty()) return;
+    request.headers.emplace_back(name, std::move(value));
+  };
+  add(dialect.context, token);
+  add(dialect.timeout,
       std::to_string(std::max<std::int64_t>(remaining_ms.count(), 1)));
-  request.headers.emplace_back(header::kOrganisation, organisation);
-  request.headers.emplace_back(header::kImportance,
-                               ToString(call.context.importance));
+  add(dialect.organisation, OrganisationOf(call, configuration, dialect));
+  add(dialect.importance, std::string(ToString(call.context.importance)));
+  add(dialect.expected_target, expected_target);
   return request;
 }
 
--- a/src/target_request.h
+++ b/src/target_request.h
@@ -2,16 +2,18 @@
 
 #include <string>
 
-#include "http_types.h"
+#include "http_dialect.h"
 #include "lentilcross/configuration.h"
 #include "lentilcross/peer_message.h"
 
 namespace lentilcross {
 
 /// Request to a target for a call: the caller's request with the headers of
-/// section 3.1 of the design. `configuration` may be null.
+/// the dialect. `configuration` may be null, `expected_target` empty.
 HttpRequest ToTargetRequest(const Call& call, const std::string& token,
+                            const std::string& expected_target,
                             Duration remaining,
-                            const Configuration* configuration);
+                            const Configuration* configuration,
+                            const HttpDialect& dialect);
 
 }  // namespace lentilcross
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,219 @@
+#include "wire.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "lentilcross/configuration.h"
+#include "lentilcross/keys.h"
+#include "platform/documents.h"
+#include "result.h"
+
+namespace lentilcross::platform {
+namespace {
+
+namespace data = boost::unit_test::data;
+using Json = nlohmann::json;
+using ConfigurationPointer = std::shared_ptr<const Configuration>;
+using testing::MakeOperatorConfiguration;
+using testing::MakeRegistration;
+
+const DomainRegions kDomains = {{"zone-a", "east"}, {"zone-b", "west"}};
+
+Captured<std::string> Translate(const Json& configuration) {
+  return Capture<std::string>(
+      [&] { return TranslateConfiguration(configuration.dump(), kDomains); });
+}
+
+ConfigurationPointer Read(const Json& source) {
+  const auto text = Translate(source);
+  BOOST_REQUIRE_MESSAGE(text.value, text.findings.Format("op/config"));
+  const auto read = Capture<ConfigurationPointer>(
+      [&] { return Configuration::Parse(*text.value); });
+  BOOST_REQUIRE_MESSAGE(read.value, read.findings.Format("document"));
+  return *read.value;
+}
+
+// Guards against a translation that the product refuses, or that loses what
+// decides about a request.
+BOOST_AUTO_TEST_CASE(configuration_keeps_its_meaning) {
+  Json source = MakeOperatorConfiguration(12);
+  Json& routes = source["virtual-hosts"][0]["paths"];
+  routes[0].erase("service");
+  routes[0]["split"] = {{{"service", "stock"}, {"weight", 90}},
+                        {{"service", "ledger"}, {"weight", 10}}};
+  routes[1]["priority"] = 0;
+  routes[1]["public"] = true;
+  const auto configuration = Read(source);
+
+  BOOST_TEST(configuration->version.value() == 12U);
+  BOOST_TEST(configuration->failure_domains.size() == 2U);
+  BOOST_TEST(
+      (configuration->limits.idle_timeout == std::chrono::milliseconds(15000)));
+  const RouteEntry* look =
+      configuration->FindRoute("shop.example:80", "/look/1?x=2");
+  BOOST_REQUIRE(look != nullptr);
+  BOOST_TEST(look->idempotent);
+  BOOST_TEST(!look->open);
+  BOOST_TEST(look->max_attempts == 2);
+  BOOST_REQUIRE(look->split.size() == 2U);
+  BOOST_TEST(look->split[0].weight == 90);
+  const RouteEntry* book = configuration->FindRoute("shop.example", "/book/1");
+  BOOST_REQUIRE(book != nullptr);
+  BOOST_TEST(!book->idempotent);
+  BOOST_TEST(!book->ticket);
+  BOOST_TEST(book->open);
+  BOOST_TEST((book->importance == Importance::kCritical));
+  BOOST_TEST((look->importance == Importance::kLookup));
+}
+
+// Guards against a path that only resembles a route: prefixes match literally.
+BOOST_AUTO_TEST_CASE(routes_match_by_host_and_literal_prefix) {
+  const auto configuration = Read(MakeOperatorConfiguration(1));
+  const auto found = [&](const char* host, const char* path) {
+    return configuration->FindRoute(host, path) != nullptr;
+  };
+  BOOST_TEST(found("SHOP.example", "/look/"));
+  BOOST_TEST(!found("shop.example", "/look"));
+  BOOST_TEST(!found("shop.example", "/lookout/1"));
+  BOOST_TEST(!found("other.example", "/look/1"));
+}
+
+BOOST_AUTO_TEST_CASE(longest_prefix_wins) {
+  Json source = MakeOperatorConfiguration(1);
+  source["virtual-hosts"][0]["paths"].push_back(
+      testing::MakeRoute("/look/deep/", "idempotent", "ledger"));
+  const auto configuration = Read(source);
+  const RouteEntry* route =
+      configuration->FindRoute("shop.example", "/look/deep/1");
+  BOOST_REQUIRE(route != nullptr);
+  BOOST_TEST((route->service == ServiceId::FromName("ledger")));
+}
+
+// Guards against a key in the document that peers exchange and operators see.
+BOOST_AUTO_TEST_CASE(keys_are_published_as_digests) {
+  const auto text = Translate(MakeOperatorConfiguration(1));
+  BOOST_REQUIRE(text.value);
+  BOOST_TEST(text.value->find("key-of-coopers") == std::string::npos);
+  KeyRing keys;
+  keys.Apply(*Read(MakeOperatorConfiguration(1)));
+  const auto found = keys.Find("key-of-coopers");
+  BOOST_TEST((found.reason == Reason::kNone));
+  BOOST_TEST((found.organisation == OrganisationId::FromName("coopers")));
+}
+
+// Guards against a tenant without a rate that is refused everything.
+BOOST_AUTO_TEST_CASE(rate_of_zero_means_no_limit) {
+  Json source = MakeOperatorConfiguration(1);
+  source["tenants"][0].erase("rate-per-s");
+  const auto configuration = Read(source);
+  const auto& organisation =
+      configuration->organisations.at(OrganisationId::FromName("coopers"));
+  BOOST_TEST(organisation.unlimited);
+}
+
+// Guards against a forgotten check of one member: every fault is a finding with
+// its place, and no document comes out.
+BOOST_DATA_TEST_CASE(
+    faulty_configuration_is_refused,
+    data::make({R"({"version": "12"})", R"({"version": 12})",
+                R"({"services": [{"name": 5}]})",
+                R"({"virtual-hosts": [{"host": "a.example"}]})",
+                R"({"virtual-hosts": [{"host": "a", "paths": [{}]}]})",
+                R"({"tenants": [{"name": "x", "api-keys": [7]}]})",
+                R"({"limits": {"idle-timeout-ms": "x"}})"}),
+    patch) {
+  Json source = MakeOperatorConfiguration(1);
+  source.merge_patch(Json::parse(patch));
+  const auto text = Translate(source);
+  BOOST_TEST(!text.value);
+  BOOST_TEST(!text.findings.empty());
+}
+
+BOOST_AUTO_TEST_CASE(registration_names_host_and_peer) {
+  const auto registered = Capture<RegisteredTarget>([] {
+    return DecodeRegistration(
+        "i-1", MakeRegistration("stock", "10.1.0.26:8547", 77).dump(), 8543,
+        Instant{});
+  });
+  BOOST_REQUIRE(registered.value);
+  BOOST_TEST(registered.value->name == "i-1");
+  BOOST_TEST(registered.value->host == "10.1.0.26");
+  BOOST_TEST(registered.value->peer == "10.1.0.26:8543");
+  BOOST_TEST(registered.value->failure_domain == "zone-a");
+  BOOST_TEST(registered.value->slots == 8);
+  BOOST_TEST(registered.value->started_ms == 77);
+  BOOST_TEST(!registered.value->draining);
+}
+
+// Guards against an entry of another writer that is taken for a target.
+BOOST_DATA_TEST_CASE(
+    forged_registration_names_no_target,
+    data::make({R"({"address": null})", R"({"address": "10.1.0.26"})",
+                R"({"details": 5})", R"({"details": {"service": 5}})",
+                R"({"details": {"slots": "8"}})",
+                R"({"details": {"slots": 0}})",
+                R"({"details": {"zone": null}})", R"({"status": null})",
+                R"({"status": {"state": "asleep"}})"}),
+    patch) {
+  Json source = MakeRegistration("stock", "10.1.0.26:8547");
+  source.merge_patch(Json::parse(patch));
+  const auto registered = Capture<RegisteredTarget>([&] {
+    return DecodeRegistration("i-1", source.dump(), 8543, Instant{});
+  });
+  BOOST_TEST(!registered.value);
+  BOOST_TEST(!registered.decode_error.empty());
+}
+
+BOOST_AUTO_TEST_CASE(registration_of_arbitrary_bytes_names_no_target) {
+  for (const std::string bytes : {"", "\x01\x02", "{", "[]", "null"}) {
+    const auto registered = Capture<RegisteredTarget>(
+        [&] { return DecodeRegistration("i-1", bytes, 1, Instant{}); });
+    BOOST_TEST(!registered.value);
+  }
+}
+
+// Guards against an answer that is cut or forged and passes as an empty list.
+BOOST_DATA_TEST_CASE(
+    malformed_store_answer_is_an_error,
+    data::make({"", "[]", R"({"items": []})",
+                R"({"items": 1, "store-revision": 4})",
+                R"({"items": [{"key": "a"}], "store-revision": 4})",
+                R"({"items": [{"key": "a", "rev": 1, "value": "%%%%"}],
+                    "store-revision": 4})"}),
+    body) {
+  const auto list = Capture<ItemList>([&] { return DecodeItems(body); });
+  BOOST_TEST(!list.value);
+}
+
+BOOST_AUTO_TEST_CASE(items_and_events_are_decoded) {
+  const auto list = Capture<ItemList>([] {
+    return DecodeItems(
+        R"({"events": [{"key": "my/leader", "value": "bm9kZS0x", "rev": 412},
+                       {"key": "my/old", "rev": 413, "deleted": true}],
+            "store-revision": 413})");
+  });
+  BOOST_REQUIRE(list.value);
+  BOOST_TEST(list.value->store_revision == 413U);
+  BOOST_REQUIRE(list.value->items.size() == 2U);
+  BOOST_TEST(*list.value->items[0].value == "node-1");
+  BOOST_TEST(!list.value->items[1].value);
+}
+
+// Guards against a status that promises "not run" without proof.
+BOOST_AUTO_TEST_CASE(statuses_promise_only_what_is_proven) {
+  const HttpDialect dialect = MakeDialect();
+  for (int i = 1; i < kReasonCount; ++i) {
+    Refusal refusal;
+    refusal.reason = static_cast<Reason>(i);
+    refusal.outcome = Outcome::kUnknown;
+    const bool entry_only = refusal.reason == Reason::kRateExceeded;
+    const int status = dialect.status_of(refusal);
+    const bool promise =
+        status == 503 || status == 429 || status == 408 || status == 421;
+    BOOST_TEST((!promise || entry_only), ToString(refusal.reason));
+  }
+}
+
+}  // namespace
+}  // namespace lentilcross::platform
