Use own quotas at once after a start; keep targets' calls past the entry gate

(3) Calls of targets on open routes were refused by the entry gate, which wastes the request behind them.

One bounded log line for each refused request.

--- a/cmake/daemon.cmake
+++ b/cmake/daemon.cmake
@@ -10,6 +10,7 @@
   src/http_dialect.cpp
   src/http_types.cpp
   src/latency_summary.cpp
+  src/log_limiter.cpp
   src/local_targets.cpp
   src/onward_pipeline.cpp
   src/outgoing_calls.cpp
@@ -44,6 +45,7 @@
   src/peer_transport.cpp
   src/platform_client.cpp
   src/settings.cpp
+  src/settings_reload.cpp
   src/stats_snapshot.cpp
   src/target_client.cpp)
 target_include_directories(lentilcross_daemon PUBLIC src)
--- a/include/lentilcross/configuration.h
+++ b/include/lentilcross/configuration.h
@@ -73,7 +73,7 @@
   double burst = 0;        ///< Whole requests.
   double weight = 1;       ///< For weighted max-min sharing of a target.
   bool unlimited = false;  ///< No rate; `rate` and `burst` are unused.
-  /// Among requests of one importance class, 0 is the least.
+  /// Raises its requests of low importance by so many classes.
   int precedence = 0;
 };
 
--- a/include/lentilcross/rate.h
+++ b/include/lentilcross/rate.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -33,6 +34,12 @@
     Duration loan_term = std::chrono::seconds(2);
     Duration handover = std::chrono::seconds(10);
     Duration longest_wait = std::chrono::milliseconds(30);
+    /// Time after the start of this process, and after an organisation is
+    /// added, in which own quotas are unused; empty: `handover`. Loans that an
+    /// earlier process of this host made stay in force for one loan term beside
+    /// the own quota, so that less than that adds up to the loaned rate for one
+    /// term.
+    std::optional<Duration> start_wait;
   };
   struct Stats {
     std::uint64_t admitted = 0;
--- a/src/command.cpp
+++ b/src/command.cpp
@@ -1,9 +1,6 @@
 #include "command.h"
 
 #include <iostream>
-#include <utility>
-
-#include "adapter.h"
 
 namespace lentilcross {
 
@@ -30,15 +27,6 @@
   }
 }
 
-Result<Settings> LoadSettings(const std::string& path) {
-  Findings unreadable;
-  const std::string text = ReadFile(path, unreadable);
-  if (!unreadable.empty()) {
-    return boost::leaf::new_error(std::move(unreadable));
-  }
-  return Settings::Parse(text, platform::Configure);
-}
-
 int Unusable(const std::string& text) {
   std::cerr << "lentilcross: " << text << "\n";
   return kExitUnusable;
--- a/src/command.h
+++ b/src/command.h
@@ -3,8 +3,6 @@
 #include <cxxopts.hpp>
 #include <string>
 
-#include "settings.h"
-
 namespace lentilcross {
 
 /// Exit statuses of all subcommands.
@@ -26,10 +24,6 @@
                                                    int argc, char** argv,
                                                    int* status);
 
-/// Reads and parses a settings file, with the platform adapter of this binary.
-/// The error carries `Findings`.
-Result<Settings> LoadSettings(const std::string& path);
-
 /// Prints a usage error and returns `kExitUnusable`.
 int Unusable(const std::string& text);
 
--- a/src/command_check.cpp
+++ b/src/command_check.cpp
@@ -2,8 +2,10 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "adapter.h"
 #include "command.h"
 #include "lentilcross/configuration.h"
+#include "settings.h"
 
 namespace lentilcross {
 namespace {
@@ -39,7 +41,8 @@
   const std::string text = ReadFile(path, findings);
   if (!findings.empty()) return findings;
   if (IsSettings(text)) {
-    return FindingsOf([&] { return LoadSettings(path); });
+    return FindingsOf(
+        [&] { return Settings::Parse(text, platform::Configure); });
   }
   return FindingsOf([&] { return Configuration::Parse(text); });
 }
--- a/src/command_daemon.cpp
+++ b/src/command_daemon.cpp
@@ -1,24 +1,33 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <iostream>
 #include <thread>
 
+#include "adapter.h"
 #include "audit.h"
 #include "command.h"
 #include "daemon.h"
 #include "logging.h"
 #include "operator_server.h"
+#include "settings_reload.h"
 
 namespace lentilcross {
 namespace {
 
-// Calls `action` on its own thread when SIGTERM or SIGINT arrives.
+// A settings file may change without a signal; it is looked at this often.
+constexpr std::chrono::seconds kSettingsPoll(2);
+
+// Calls `on_signal` on its own thread when SIGTERM, SIGINT or SIGHUP arrives,
+// and `on_poll` from time to time.
 class SignalThread {
  public:
-  explicit SignalThread(std::function<void(int)> action)
-      : action_(std::move(action)) {
+  SignalThread(std::function<void(int)> on_signal,
+               std::function<void()> on_poll)
+      : action_(std::move(on_signal)), poll_(std::move(on_poll)) {
     Wait();
+    Poll();
     thread_ = std::thread([this] { context_.run(); });
   }
   ~SignalThread() {
@@ -37,9 +46,20 @@
     });
   }
 
+  void Poll() {
+    timer_.expires_after(kSettingsPoll);
+    timer_.async_wait([this](auto code) {
+      if (code) return;
+      poll_();
+      Poll();
+    });
+  }
+
   std::function<void(int)> action_;
+  std::function<void()> poll_;
   boost::asio::io_context context_;
-  boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
+  boost::asio::signal_set signals_{context_, SIGTERM, SIGINT, SIGHUP};
+  boost::asio::steady_timer timer_{context_};
   std::thread thread_;
 };
 
@@ -54,7 +74,32 @@
   };
 }
 
-Result<int> Serve(Settings settings) {
+void Reload(const std::string& path, SettingsReload& reload, LogThread& log,
+            const LogHook& write_log) {
+  Findings findings;
+  const std::string text = ReadFile(path, findings);
+  SettingsReload::Outcome outcome;
+  if (findings.empty()) {
+    outcome = reload.Apply(text);
+    findings = outcome.findings;
+  }
+  for (const Finding& finding : findings.list()) {
+    write_log(LogLevel::kError, "daemon-settings-refused",
+              {{"place", finding.place}, {"finding", finding.text}});
+  }
+  if (!outcome.changed) return;
+  log.SetLevels({outcome.log.level, outcome.log.loggers});
+  for (const std::string& place : outcome.applied) {
+    write_log(LogLevel::kInfo, "daemon-settings-applied", {{"place", place}});
+  }
+  for (const std::string& place : outcome.need_restart) {
+    write_log(LogLevel::kWarn, "daemon-settings-need-restart",
+              {{"place", place}});
+  }
+}
+
+Result<int> Serve(Settings settings, const std::string& path,
+                  const std::string& text) {
   const auto log =
       LogThread::Create({settings.log.level, settings.log.loggers});
   AuditTrail audit({});
@@ -82,11 +127,20 @@
              {"operator", ToString(settings.operator_address)}});
   int status = kExitSuccess;
   {
-    const SignalThread signals([&](int number) {
-      write_log(LogLevel::kInfo, "daemon-stopping",
-                {{"signal", number == SIGTERM ? "SIGTERM" : "SIGINT"}});
-      daemon->RequestShutdown();
-    });
+    SettingsReload reload(text, platform::Configure);
+    const auto read_again = [&] { Reload(path, reload, *log, write_log); };
+    const SignalThread signals(
+        [&](int number) {
+          if (number == SIGHUP) {
+            write_log(LogLevel::kInfo, "daemon-reload", {{"signal", "SIGHUP"}});
+            read_again();
+            return;
+          }
+          write_log(LogLevel::kInfo, "daemon-stopping",
+                    {{"signal", number == SIGTERM ? "SIGTERM" : "SIGINT"}});
+          daemon->RequestShutdown();
+        },
+        read_again);
     status = daemon->Run();
   }
   write_log(LogLevel::kInfo, "daemon-stopped",
@@ -97,8 +151,13 @@
 int Start(const std::string& path) {
   return boost::leaf::try_handle_all(
       [&]() -> Result<int> {
-        BOOST_LEAF_AUTO(settings, LoadSettings(path));
-        return Serve(std::move(settings));
+        Findings unreadable;
+        const std::string text = ReadFile(path, unreadable);
+        if (!unreadable.empty()) {
+          return boost::leaf::new_error(std::move(unreadable));
+        }
+        BOOST_LEAF_AUTO(settings, Settings::Parse(text, platform::Configure));
+        return Serve(std::move(settings), path, text);
       },
       [&](const Findings& findings) {
         std::cerr << findings.Format(path);
--- a/src/configuration_reader.cpp
+++ b/src/configuration_reader.cpp
@@ -26,7 +26,7 @@
 constexpr Duration kMaxTimeout = std::chrono::minutes(10);
 constexpr Duration kMaxQueue = std::chrono::minutes(1);
 constexpr Duration kMaxIdle = std::chrono::hours(1);
-constexpr int kMaxPrecedence = 255;
+constexpr int kMaxPrecedence = kImportanceCount;
 constexpr std::size_t kMaxSplit = 64;
 // Rounding of decimal shares such as 0.1 ten times.
 constexpr double kShareTolerance = 1e-9;
--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -17,6 +17,8 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr Duration kStatsInterval = std::chrono::seconds(1);
+/// A process that cannot read the registry serves what peers tell it.
+constexpr Duration kLongestRegistryWait = std::chrono::seconds(2);
 /// Messages kept while the ring to the thread `data` is full.
 constexpr std::size_t kMaxHeldBack = 4096;
 
@@ -188,6 +190,13 @@
     }
   }
 
+  /// Without its targets a configuration would shift quotas and leave calls
+  /// without a place to go, for the moment until the registry is read.
+  bool AwaitsRegistry() const {
+    return platform->has_registry() && !fleet &&
+           steady_clock::now() - started < kLongestRegistryWait;
+  }
+
   /// Adds the registered targets to the published configuration.
   std::shared_ptr<const Configuration> Compose(
       const std::shared_ptr<const Configuration>& published_part) {
@@ -205,7 +214,7 @@
   /// Passes a new version on to the thread `data` and to peers.
   void Publish(const std::string& source) {
     const auto current = spread.current();
-    if (!current) return;
+    if (!current || AwaitsRegistry()) return;
     const bool version_is_new = current->version != published;
     if (!version_is_new && !fleet_is_new) return;
     published = current->version;
@@ -225,7 +234,7 @@
   /// Starts what is due at the platform and reports the readiness.
   void Step() {
     const Instant now = steady_clock::now();
-    const bool ready = spread.IsReady(now);
+    const bool ready = published.valid() && spread.IsReady(now);
     const bool stale = spread.IsStale(now);
     if (ready != readiness.ready || stale != readiness.stale) {
       readiness = {ready, stale};
@@ -250,6 +259,7 @@
     const Instant now = steady_clock::now();
     SendHeldBack();
     platform->Tick();
+    Publish("registry");
     SendAll(spread.Tick(membership, now, random));
     Step();
     if (now >= next_stats) {
@@ -288,6 +298,7 @@
   bool fleet_is_new = false;
   Ring<ToData>* out = nullptr;
   std::deque<ToData> held_back;
+  const Instant started = steady_clock::now();
   Version published;
   Readiness readiness;
   Instant next_stats{};
--- a/src/data_state.cpp
+++ b/src/data_state.cpp
@@ -30,6 +30,8 @@
   rate_init.incarnation = incarnation;
   rate_init.loan_term = init.loan_term;
   rate_init.handover = init.rate_handover;
+  rate_init.start_wait = init.rate_start_wait;
+  rate_init.longest_wait = init.rate_wait;
   BOOST_LEAF_AUTO(rate, RateBook::Create(rate_init));
 
   TicketBook::Init ticket_init;
--- a/src/data_state.h
+++ b/src/data_state.h
@@ -18,6 +18,7 @@
 #include "lentilcross/routing.h"
 #include "lentilcross/shedding.h"
 #include "lentilcross/tickets.h"
+#include "log_limiter.h"
 #include "pause_watch.h"
 #include "scheduler.h"
 
@@ -64,6 +65,7 @@
   LatencySummary request_latency{};
   LatencySummary target_latency{};
   PauseWatch pauses{};
+  LogLimiter log_limiter{};
 
   Instant Now() const { return scheduler.Now(); }
 
@@ -74,6 +76,19 @@
   void Log(LogLevel level, const std::string& event, const LogFields& fields) {
     if (log) log(level, event, fields);
   }
+  /// For events that come with requests: their lines are limited, and `fields`
+  /// is called only for a line that is written.
+  template <typename Fields>
+  void LogDecision(LogLevel level, const std::string& event, Fields fields) {
+    if (!log) return;
+    const LogLimiter::Verdict verdict = log_limiter.Admit(event, Now());
+    if (!verdict.write) return;
+    LogFields list = fields();
+    if (verdict.left_out > 0) {
+      list.emplace_back("left_out", std::to_string(verdict.left_out));
+    }
+    log(level, event, list);
+  }
 };
 
 }  // namespace lentilcross
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -76,7 +76,15 @@
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p logger=%c %m%n"));
     root.addAppender(appender);
-    root.setLogLevel(ToLog4cplus(init.level));
+    SetLevels(init);
+    thread_ = std::thread([this] { Run(); });
+  }
+  ~Thread() override { Stop(); }
+  Thread(const Thread&) = delete;
+  Thread& operator=(const Thread&) = delete;
+
+  void SetLevels(const Init& init) override {
+    log4cplus::Logger::getRoot().setLogLevel(ToLog4cplus(init.level));
     for (const std::string_view name : kLoggers) {
       const auto found = init.loggers.find(std::string(name));
       log4cplus::Logger::getInstance(std::string(name))
@@ -84,11 +92,7 @@
                            ? log4cplus::NOT_SET_LOG_LEVEL
                            : ToLog4cplus(found->second));
     }
-    thread_ = std::thread([this] { Run(); });
   }
-  ~Thread() override { Stop(); }
-  Thread(const Thread&) = delete;
-  Thread& operator=(const Thread&) = delete;
 
   LogRing& AddRing() override {
     const std::lock_guard lock(mutex_);
--- a/src/logging.h
+++ b/src/logging.h
@@ -51,6 +51,8 @@
   virtual std::uint64_t dropped() const = 0;
   /// Writes what the rings hold and ends the thread.
   virtual void Stop() = 0;
+  /// Changes the levels. Safe on any thread.
+  virtual void SetLevels(const Init& init) = 0;
 };
 
 }  // namespace lentilcross
--- a/src/platform_source.h
+++ b/src/platform_source.h
@@ -45,6 +45,8 @@
   virtual bool reading() const = 0;
   /// Asks for the list of hosts. A failure is only counted: the list is a hint.
   virtual void ReadHosts() = 0;
+  /// True if targets register themselves at the platform.
+  virtual bool has_registry() const { return false; }
   /// Called every 100 ms.
   virtual void Tick() {}
 
--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -34,9 +34,15 @@
   return {std::max(a.rate, b.rate), std::max(a.burst, b.burst)};
 }
 
-void RateAccount::SetTarget(Quota target, Instant now, Duration handover) {
+void RateAccount::SetTarget(Quota target, Instant now, Duration handover,
+                            Duration start_wait) {
   handover_ = handover;
-  if (steps_.empty()) steps_.push_back({Instant::min(), {}});
+  if (steps_.empty()) {
+    steps_.push_back({Instant::min(), {}});
+    steps_.push_back({now - handover + start_wait, target});
+    Recompute(time_);
+    return;
+  }
   const Quota last = steps_.back().quota;
   if (last.rate == target.rate && last.burst == target.burst) return;
   if (steps_.size() >= kMaxSteps) {
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -76,8 +76,10 @@
 class RateAccount {
  public:
   /// Share that the configuration assigns from now on. The account uses the
-  /// lowest share in force during the last `handover`.
-  void SetTarget(Quota target, Instant now, Duration handover);
+  /// lowest share in force during the last `handover`. The first share counts
+  /// after `start_wait`.
+  void SetTarget(Quota target, Instant now, Duration handover,
+                 Duration start_wait);
   Quota target() const {
     return steps_.empty() ? Quota{} : steps_.back().quota;
   }
--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -9,6 +9,9 @@
 constexpr Duration kSweepInterval = std::chrono::milliseconds(20);
 constexpr Duration kShortestRetry = std::chrono::milliseconds(1);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(50);
+// Part of an organisation's rate that a host can count on getting. It keeps the
+// advice to callers in proportion where the host holds nothing just now.
+constexpr double kLeastRefillShare = 0.02;
 constexpr Duration kMostRetryAfter = std::chrono::seconds(5);
 
 Duration Seconds(double seconds) {
@@ -51,7 +54,7 @@
   const double share =
       org.is_owner ? owners.ShareOfOwner(init.failure_domain) : 0;
   org.account.SetTarget({org.total.rate * share, org.total.burst * share}, now,
-                        init.handover);
+                        init.handover, init.start_wait.value_or(init.handover));
   MarkDirty(org);
 }
 
@@ -119,7 +122,8 @@
   }
   if (waited > Duration::zero()) org.waiting = std::max(0, org.waiting - 1);
   ++stats.refused;
-  const double rate = std::max(org.account.held().rate, 0.1);
+  const double rate =
+      std::max(org.account.held().rate, kLeastRefillShare * org.total.rate);
   const Duration after = Seconds((1 + org.waiting) / rate);
   return {Verdict::kRefused,
           {},
@@ -201,6 +205,10 @@
   if (init.loan_term < kShortestLoanTerm || init.loan_term > kLongestLoanTerm) {
     findings.Add("loan_term", "out of range");
   }
+  if (init.start_wait && (*init.start_wait < Duration::zero() ||
+                          *init.start_wait > init.handover)) {
+    findings.Add("start_wait", "out of range 0 to handover");
+  }
   if (init.handover < ShortestHandover(init.loan_term)) {
     findings.Add("handover", "too short for the loan term");
   }
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -1,5 +1,6 @@
 #include "request_pipeline.h"
 
+#include <algorithm>
 #include <unordered_map>
 #include <utility>
 
@@ -13,6 +14,7 @@
 struct Entry {
   RequestPipeline::ExchangeId exchange = 0;
   HttpRequest request;
+  std::string request_name;  ///< Id that the caller gave it; may be empty.
   std::shared_ptr<const Configuration> configuration;
   const RouteEntry* route = nullptr;
   std::optional<KeyRing::Lookup> key;
@@ -28,6 +30,11 @@
 
 using EntryPtr = std::shared_ptr<Entry>;
 
+std::string ToMilliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 }  // namespace
 
 struct RequestPipeline::Impl : std::enable_shared_from_this<Impl> {
@@ -46,6 +53,9 @@
     entry->exchange = exchange;
     entry->arrived = state.Now();
     entry->request = std::move(request);
+    if (!state.dialect.request_id.empty()) {
+      entry->request_name = entry->request.header(state.dialect.request_id);
+    }
     entry->configuration = state.configuration;
     entries[exchange] = entry;
     if (state.draining && !state.serves_notice) {
@@ -106,11 +116,25 @@
     RequestContext& context = entry.context;
     context.id = RequestId::Make(state.random);
     if (entry.key) context.organisation = entry.key->organisation;
-    context.importance = entry.route->importance;
+    context.importance = ImportanceOf(entry);
     context.version = entry.configuration->version;
     context.entry_host = state.self;
   }
 
+  /// The precedence of an organisation raises its requests among those below
+  /// `kStandard`; what is more important on any route stays above them.
+  static Importance ImportanceOf(const Entry& entry) {
+    const Importance importance = entry.route->importance;
+    if (!entry.key || importance >= Importance::kStandard) return importance;
+    const auto& organisations = entry.configuration->organisations;
+    const auto it = organisations.find(entry.key->organisation);
+    if (it == organisations.end()) return importance;
+    const int raised =
+        std::min(static_cast<int>(importance) + it->second.precedence,
+                 static_cast<int>(Importance::kLookup));
+    return std::max(importance, static_cast<Importance>(raised));
+  }
+
   /// True if the request may go on; claims a ticket of this process.
   bool CheckTicket(const EntryPtr& entry) {
     const auto& headers = entry->request.headers;
@@ -169,7 +193,13 @@
 
   void ChargeRate(const EntryPtr& entry) {
     if (entry->route->open || IsUnlimited(*entry)) {
-      PassGate(entry);  // organisation 0 has no rate
+      // Organisation 0 has no rate. Refusing a target's call wastes the whole
+      // request behind it, so the gate leaves that to the called target.
+      if (IsOnwardCall(*entry)) {
+        Send(entry);
+      } else {
+        PassGate(entry);
+      }
       return;
     }
     const auto handle = waits.Charge(
@@ -180,6 +210,11 @@
     if (!entry->ended && handle != 0) entry->wait = handle;
   }
 
+  /// Targets that call on this listener use open routes and no token.
+  bool IsOnwardCall(const Entry& entry) const {
+    return entry.route->open && state.dialect.context.empty();
+  }
+
   static bool IsUnlimited(const Entry& entry) {
     const auto& organisations = entry.configuration->organisations;
     const auto it = organisations.find(entry.context.organisation);
@@ -293,11 +328,46 @@
       state.request_latency.Add(state.Now() - entry->arrived);
     } else {
       ++state.stats.refused[static_cast<std::size_t>(reply.refusal.reason)];
+      LogRefusal(*entry, reply.refusal, response.status);
     }
     entries.erase(entry->exchange);
     respond(entry->exchange, std::move(response));
   }
 
+  void LogRefusal(const Entry& entry, const Refusal& refusal, int status) {
+    state.LogDecision(LogLevel::kInfo, "request-refused", [&] {
+      const Instant now = state.Now();
+      LogFields fields = {
+          {"id", entry.request_name},
+          {"status", std::to_string(status)},
+          {"reason", std::string(ToString(refusal.reason))},
+          {"outcome", std::string(ToString(refusal.outcome))},
+          {"detail", refusal.detail},
+          {"after_ms", ToMilliseconds(now - entry.arrived)},
+          {"retry_after_ms", ToMilliseconds(refusal.retry_after)},
+          {"route", entry.route == nullptr ? "" : entry.route->prefix}};
+      if (entry.configuration) {
+        fields.emplace_back(
+            "version", std::to_string(entry.configuration->version.value()));
+      }
+      const OrganisationId organisation = entry.context.organisation;
+      if (organisation.valid()) {
+        const Quota held = state.rate.held(organisation, now);
+        fields.emplace_back("organisation", NameOf(entry, organisation));
+        fields.emplace_back("held_rate", std::to_string(held.rate));
+        fields.emplace_back(
+            "tokens", std::to_string(state.rate.tokens(organisation, now)));
+      }
+      return fields;
+    });
+  }
+
+  static std::string NameOf(const Entry& entry, OrganisationId id) {
+    const auto& organisations = entry.configuration->organisations;
+    const auto it = organisations.find(id);
+    return it == organisations.end() ? "" : it->second.name;
+  }
+
   void OnAbandoned(ExchangeId exchange) {
     const auto it = entries.find(exchange);
     if (it == entries.end()) return;
--- a/tests/daemon/http_front_test.cpp
+++ b/tests/daemon/http_front_test.cpp
@@ -1,5 +1,6 @@
 #include "http_front.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -110,5 +111,110 @@
   BOOST_TEST(setup.RunUntil([&] { return setup.front->closed(); }));
 }
 
+/// A listener whose requests the test answers itself.
+struct Manual {
+  Manual() {
+    HttpFront::Hooks hooks;
+    hooks.on_request = [this](HttpFront::ExchangeId id, HttpRequest&& request) {
+      requests.emplace_back(id, request.target);
+    };
+    hooks.on_abandoned = [this](HttpFront::ExchangeId id) {
+      abandoned.push_back(id);
+    };
+    HttpFront::Init init;
+    init.max_pipelined = 3;
+    front = std::make_unique<HttpFront>(io, init, hooks);
+    const Endpoint endpoint = front->Listen({"127.0.0.1", 0}).value();
+    caller.connect({boost::asio::ip::make_address(endpoint.ip), endpoint.port});
+  }
+
+  void Send(const std::string& path) {
+    boost::asio::write(caller, boost::asio::buffer("GET " + path +
+                                                   " HTTP/1.1\r\n"
+                                                   "Host: a\r\n\r\n"));
+  }
+  bool RunUntil(const std::function<bool()>& fits) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!fits() && std::chrono::steady_clock::now() < end) {
+      io.restart();
+      io.run_one_for(milliseconds(10));
+    }
+    return fits();
+  }
+  void Answer(std::size_t index, const std::string& body) {
+    front->Respond(requests[index].first,
+                   MakeResponse(200, "text/plain", body));
+  }
+  /// Reads until the text has arrived.
+  bool ReadUntil(const std::string& text) {
+    caller.non_blocking(true);
+    return RunUntil([&] {
+      std::array<char, 4096> bytes{};
+      boost::system::error_code error;
+      const auto size = caller.read_some(boost::asio::buffer(bytes), error);
+      if (!error) received.append(bytes.data(), size);
+      return received.find(text) != std::string::npos;
+    });
+  }
+
+  boost::asio::io_context io{1};
+  std::unique_ptr<HttpFront> front;
+  tcp::socket caller{io};
+  std::vector<std::pair<HttpFront::ExchangeId, std::string>> requests;
+  std::vector<HttpFront::ExchangeId> abandoned;
+  std::string received;
+};
+
+// Guards against a request that is read only once the one before it on the
+// connection has been answered, and against answers in another order.
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_handled_side_by_side) {
+  Manual manual;
+  for (const char* path : {"/1", "/2", "/3"}) manual.Send(path);
+  BOOST_REQUIRE(manual.RunUntil([&] { return manual.requests.size() == 3; }));
+  manual.Answer(2, "third");
+  manual.Answer(1, "second");
+  manual.io.run_for(milliseconds(20));
+  manual.Answer(0, "first");
+  BOOST_TEST(manual.ReadUntil("third"));
+  const auto& text = manual.received;
+  BOOST_TEST(text.find("first") < text.find("second"));
+  BOOST_TEST(text.find("second") < text.find("third"));
+}
+
+// Guards against an unbounded number of requests of one connection.
+BOOST_AUTO_TEST_CASE(pipeline_is_bounded_and_goes_on) {
+  Manual manual;
+  for (const char* path : {"/1", "/2", "/3", "/4"}) manual.Send(path);
+  BOOST_REQUIRE(manual.RunUntil([&] { return manual.requests.size() == 3; }));
+  manual.io.run_for(milliseconds(50));
+  BOOST_TEST(manual.requests.size() == 3U);
+  manual.Answer(0, "first");
+  BOOST_TEST(manual.RunUntil([&] { return manual.requests.size() == 4; }));
+}
+
+// Guards against work that goes on for a caller that has left.
+BOOST_AUTO_TEST_CASE(close_abandons_all_requests_of_the_connection) {
+  Manual manual;
+  manual.Send("/1");
+  manual.Send("/2");
+  BOOST_REQUIRE(manual.RunUntil([&] { return manual.requests.size() == 2; }));
+  manual.caller.close();
+  BOOST_TEST(manual.RunUntil([&] { return manual.abandoned.size() == 2; }));
+}
+
+// Guards against an answer behind the one that closes the connection: its
+// caller takes the request as unread and sends it again.
+BOOST_AUTO_TEST_CASE(requests_behind_a_closing_answer_are_abandoned) {
+  Manual manual;
+  manual.Send("/1");
+  manual.Send("/2");
+  BOOST_REQUIRE(manual.RunUntil([&] { return manual.requests.size() == 2; }));
+  manual.front->BeginDrain();
+  manual.Answer(0, "first");
+  BOOST_TEST(manual.ReadUntil("first"));
+  BOOST_TEST(manual.RunUntil([&] { return manual.abandoned.size() == 1; }));
+  BOOST_TEST(manual.received.find("Connection: close") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace lentilcross::testing
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,200 @@
+#include "store_client.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "lentilcross/configuration.h"
+#include "platform/documents.h"
+#include "platform/fake_store.h"
+
+namespace lentilcross::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::FakeStore;
+using testing::kPatience;
+using testing::MakeOperatorConfiguration;
+using testing::MakeRegistration;
+
+/// A client with its hooks, run by the test.
+struct Setup {
+  Setup() {
+    StoreClient::Init init;
+    init.store = store.endpoint();
+    init.domains = {{"zone-a", "east"}};
+    init.peer_port = 8543;
+    init.watch_wait = milliseconds(200);
+    init.timeout = milliseconds(300);
+    PlatformSource::Hooks hooks;
+    hooks.on_document = [this](const std::string& text, const std::string&,
+                               Instant) { documents.push_back(text); };
+    hooks.on_unchanged = [this](Instant) { ++unchanged; };
+    hooks.on_failure = [this](const std::string&) { ++failures; };
+    hooks.on_fleet = [this](const Fleet& changed) {
+      fleet = changed;
+      ++fleets;
+    };
+    hooks.on_event = [this](const std::string& event, const std::string&) {
+      events.push_back(event);
+    };
+    client = std::make_unique<StoreClient>(io, init, std::move(hooks));
+  }
+
+  bool RunUntil(const std::function<bool()>& fits) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!fits() && std::chrono::steady_clock::now() < end) {
+      io.restart();
+      io.run_for(milliseconds(5));
+      client->Tick();
+    }
+    return fits();
+  }
+  void RunFor(Duration time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  }
+  bool Knows(const std::string& name) const {
+    return fleet.targets.count(name) != 0;
+  }
+  bool Saw(const std::string& event) const {
+    return std::find(events.begin(), events.end(), event) != events.end();
+  }
+  void Register(const std::string& name, const std::string& host) {
+    store.Put("servers/" + name,
+              MakeRegistration("stock", host + ":8547").dump());
+  }
+
+  FakeStore store;
+  boost::asio::io_context io;
+  std::vector<std::string> documents;
+  std::vector<std::string> events;
+  int unchanged = 0;
+  int failures = 0;
+  int fleets = 0;
+  Fleet fleet;
+  std::unique_ptr<StoreClient> client;
+};
+
+// Guards against a daemon that starts before the first configuration is
+// published and then learns of it only after a backoff.
+BOOST_AUTO_TEST_CASE(first_configuration_is_waited_for) {
+  Setup setup;
+  setup.client->Read(Version(), Duration::zero());
+  setup.RunFor(milliseconds(50));
+  setup.store.Put("op/config", MakeOperatorConfiguration(3).dump());
+  BOOST_TEST(setup.RunUntil([&] { return !setup.documents.empty(); }));
+  BOOST_TEST(setup.documents[0].find("\"version\":3") != std::string::npos);
+  BOOST_TEST(setup.failures == 0);
+}
+
+BOOST_AUTO_TEST_CASE(watch_brings_the_next_version) {
+  Setup setup;
+  setup.store.Put("op/config", MakeOperatorConfiguration(3).dump());
+  setup.client->Read(Version(), Duration::zero());
+  BOOST_REQUIRE(setup.RunUntil([&] { return setup.documents.size() == 1; }));
+  setup.client->Read(Version(3), milliseconds(200));
+  BOOST_TEST(setup.RunUntil([&] { return setup.unchanged == 1; }));
+  setup.client->Read(Version(3), milliseconds(200));
+  setup.store.Put("op/config", MakeOperatorConfiguration(5).dump());
+  BOOST_TEST(setup.RunUntil([&] { return setup.documents.size() == 2; }));
+  BOOST_TEST(setup.documents[1].find("\"version\":5") != std::string::npos);
+}
+
+// Guards against a change that is missed because the history of the watch is
+// gone.
+BOOST_AUTO_TEST_CASE(lost_history_is_settled_by_a_new_read) {
+  Setup setup;
+  setup.store.Put("op/config", MakeOperatorConfiguration(3).dump());
+  setup.client->Read(Version(), Duration::zero());
+  BOOST_REQUIRE(setup.RunUntil([&] { return setup.documents.size() == 1; }));
+  setup.store.Put("op/config", MakeOperatorConfiguration(4).dump());
+  setup.store.Compact();
+  setup.client->Read(Version(3), milliseconds(200));
+  BOOST_TEST(setup.RunUntil([&] { return setup.failures == 1; }));
+  setup.client->Read(Version(3), milliseconds(200));
+  BOOST_TEST(setup.RunUntil([&] { return setup.documents.size() == 2; }));
+}
+
+// Guards against an unusable configuration that is taken for no change.
+BOOST_AUTO_TEST_CASE(unusable_configuration_is_reported) {
+  Setup setup;
+  setup.store.Put("op/config", R"({"version": "r4", "services": 5})");
+  setup.client->Read(Version(), Duration::zero());
+  BOOST_TEST(setup.RunUntil([&] { return setup.failures == 1; }));
+  BOOST_TEST(setup.Saw("configuration-unusable"));
+  BOOST_TEST(setup.documents.empty());
+}
+
+BOOST_AUTO_TEST_CASE(registrations_are_read_in_pages_and_watched) {
+  Setup setup;
+  setup.store.SetPage(2);
+  for (const char* name : {"a", "b", "c", "d", "e"}) {
+    setup.Register(name, "10.0.0." + std::to_string(1 + name[0] - 'a'));
+  }
+  BOOST_TEST(setup.RunUntil([&] { return setup.fleet.targets.size() == 5; }));
+  setup.Register("f", "10.0.0.6");
+  BOOST_TEST(setup.RunUntil([&] { return setup.Knows("f"); }));
+  setup.store.Delete("servers/a");
+  BOOST_TEST(setup.RunUntil([&] { return !setup.Knows("a"); }));
+  BOOST_TEST(setup.fleet.targets.size() == 5U);
+}
+
+// Guards against a forged entry that names a target or costs the others
+// theirs.
+BOOST_AUTO_TEST_CASE(forged_registrations_leave_the_others_alone) {
+  Setup setup;
+  setup.Register("a", "10.0.0.1");
+  setup.store.Put("servers/forged-1", "no json");
+  setup.store.Put("servers/forged-2", R"({"address": 5})");
+  setup.Register("b", "10.0.0.2");
+  BOOST_TEST(setup.RunUntil([&] { return setup.Knows("b"); }));
+  BOOST_TEST(setup.Knows("a"));
+  BOOST_TEST(setup.fleet.targets.size() == 2U);
+  BOOST_TEST(setup.Saw("configuration-registration-unusable"));
+}
+
+// Guards against targets that are dropped while the store is away, and against
+// changes that are missed when it is back, for each way to be away.
+BOOST_AUTO_TEST_CASE(outage_keeps_targets_and_catches_up) {
+  for (const auto fault :
+       {FakeStore::Fault::kUnavailable, FakeStore::Fault::kThrottled,
+        FakeStore::Fault::kLost, FakeStore::Fault::kSilent}) {
+    Setup setup;
+    setup.Register("a", "10.0.0.1");
+    BOOST_REQUIRE(setup.RunUntil([&] { return setup.Knows("a"); }));
+    setup.store.SetFault(fault);
+    setup.store.CutWatches();
+    BOOST_TEST(
+        setup.RunUntil([&] { return setup.Saw("configuration-store-lost"); }));
+    BOOST_TEST(setup.Knows("a"));
+    setup.Register("b", "10.0.0.2");
+    setup.store.SetFault(FakeStore::Fault::kNone);
+    BOOST_TEST(setup.RunUntil([&] { return setup.Knows("b"); }));
+    BOOST_TEST(setup.Knows("a"));
+    BOOST_TEST(setup.Saw("configuration-store-regained"));
+  }
+}
+
+// Guards against an outage that is declared because one watch was cut, after
+// which a target that left would be kept.
+BOOST_AUTO_TEST_CASE(one_cut_watch_is_no_outage) {
+  Setup setup;
+  setup.Register("a", "10.0.0.1");
+  BOOST_REQUIRE(setup.RunUntil([&] { return setup.Knows("a"); }));
+  setup.store.CutWatches();
+  setup.store.Delete("servers/a");
+  BOOST_TEST(setup.RunUntil([&] { return !setup.Knows("a"); }));
+  BOOST_TEST(!setup.Saw("configuration-store-lost"));
+}
+
+// Guards against calls without a pause while the store refuses them.
+BOOST_AUTO_TEST_CASE(failed_calls_back_off) {
+  Setup setup;
+  setup.store.SetFault(FakeStore::Fault::kUnavailable);
+  setup.RunFor(std::chrono::seconds(2));
+  // Pauses of at least 50, 100, 200, 400 and 500 ms.
+  BOOST_TEST(setup.store.calls() <= 8U);
+  BOOST_TEST(setup.store.calls() >= 2U);
+}
+
+}  // namespace
+}  // namespace lentilcross::platform
