--- a/include/lentilcross/fleet.h
+++ b/include/lentilcross/fleet.h
@@ -56,7 +56,7 @@
 
   /// The whole registry as of `fleet.revision`. Ignored if it is older than
   /// what is known. All functions return true if the fleet changed.
-  bool OnSnapshot(Fleet fleet, Instant now);
+  bool OnSnapshot(const Fleet& fleet, Instant now);
   /// One target was registered or changed.
   bool OnRegistered(RegisteredTarget target, std::uint64_t revision,
                     Instant now);
--- a/src/command_daemon.cpp
+++ b/src/command_daemon.cpp
@@ -175,7 +175,7 @@
   cxxopts::Options options(
       "lentilcross daemon",
       "Runs a daemon until SIGTERM or SIGINT, which start a graceful "
-      "shutdown. Logs go to standard error.");
+      "shutdown. Logs go to standard output.");
   options.add_options()("settings", "settings file",
                         cxxopts::value<std::string>());
   int status = kExitSuccess;
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -53,15 +53,15 @@
   return lost_ || now < grace_until_;
 }
 
-bool FleetTracker::OnSnapshot(Fleet fleet, Instant now) {
+bool FleetTracker::OnSnapshot(const Fleet& fleet, Instant now) {
   if (known_ && fleet.revision < fleet_.revision) return false;
   std::vector<std::string> gone;
   for (const auto& [name, target] : fleet_.targets) {
     if (fleet.targets.count(name) == 0) gone.push_back(name);
   }
   bool changed = !known_;
-  for (auto& [name, target] : fleet.targets) {
-    changed |= OnRegistered(std::move(target), fleet.revision, now);
+  for (const auto& [name, target] : fleet.targets) {
+    changed |= OnRegistered(target, fleet.revision, now);
   }
   for (const std::string& name : gone) changed |= Remove(name, now);
   fleet_.revision = fleet.revision;
--- a/src/http_front.cpp
+++ b/src/http_front.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -272,9 +273,11 @@
     const auto it = exchanges.find(id);
     if (it == exchanges.end()) return;
     const SessionPtr session = it->second;
-    for (Exchange& exchange : session->exchanges) {
-      if (exchange.id == id) exchange.response = std::move(response);
-    }
+    const auto exchange = std::find_if(
+        session->exchanges.begin(), session->exchanges.end(),
+        [id](const Exchange& candidate) { return candidate.id == id; });
+    if (exchange == session->exchanges.end()) return;
+    exchange->response = std::move(response);
     WriteNext(session);
   }
 
@@ -308,12 +311,11 @@
     if (session->exchanges.empty()) return;  // the caller is gone
     exchanges.erase(session->exchanges.front().id);
     session->exchanges.pop_front();
+    const bool closing = session->exchanges.empty() && !acceptor.is_open() &&
+                         !(session->reading && session->HasBytes());
     if (error) {
       OnCallerGone(session);
-    } else if (!keep_alive) {
-      FinishSession(session);
-    } else if (session->exchanges.empty() && !acceptor.is_open() &&
-               !(session->reading && session->HasBytes())) {
+    } else if (!keep_alive || closing) {
       FinishSession(session);
     } else {
       WriteNext(session);
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -72,7 +72,7 @@
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
-        /*logToStdErr=*/true, /*immediateFlush=*/true));
+        /*logToStdErr=*/false, /*immediateFlush=*/true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%d{%Y-%m-%dT%H:%M:%S.%qZ} level=%p logger=%c %m%n"));
     root.addAppender(appender);
--- a/src/logging.h
+++ b/src/logging.h
@@ -33,7 +33,7 @@
                      const LogFields& fields) = 0;
 };
 
-/// The log thread: writes events to standard error through log4cplus.
+/// The log thread: writes events to standard output through log4cplus.
 class LogThread {
  public:
   struct Init {
