--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -86,7 +86,7 @@
 
   /// Sends a request to the daemon beside `stock`.
   web::HttpResponse Send(const std::string& method, const std::string& path,
-                         web::HttpHeaders extra = {}) {
+                         const web::HttpHeaders& extra = {}) {
     web::HttpRequest request;
     request.method = method;
     request.target = path;
@@ -94,7 +94,7 @@
                        {"X-Lentilcross-Request-Id", "9c41d07be2a35f68"},
                        {"X-Lentilcross-Deadline-Ms", "3000"},
                        {"X-Lentilcross-Key", kKey}};
-    for (auto& [name, value] : extra) {
+    for (const auto& [name, value] : extra) {
       for (auto& [known, old] : request.headers) {
         if (known == name) old = value;
       }
