Drop targets that left behind a cut in time

Ruled out: the watch (it ran) and the order of entries (the removal was seen).

A connection that was not opened in time counts as not connected.

Test: target_that_left_behind_a_cut_is_dropped_in_time (failed before).

--- a/include/lentilcross/fleet.h
+++ b/include/lentilcross/fleet.h
@@ -42,8 +42,9 @@
 class FleetTracker {
  public:
   struct Init {
-    /// Time for lapsed registrations to come back after an outage.
-    Duration lapse_grace = std::chrono::milliseconds(2500);
+    /// Time for lapsed registrations to come back after an outage: a few
+    /// heartbeats of a target.
+    Duration lapse_grace = std::chrono::milliseconds(2000);
   };
   struct Stats {
     std::uint64_t added = 0;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -112,7 +112,11 @@
 
   void Fail(HttpFailure failure, beast::error_code code) {
     Close();
-    if (code == beast::error::timeout) failure = HttpFailure::kTimeout;
+    // A connection that was not opened in time has carried no request.
+    const bool opened = failure != HttpFailure::kConnect;
+    if (opened && code == beast::error::timeout) {
+      failure = HttpFailure::kTimeout;
+    }
     const auto callback = std::move(callback_);
     callback_ = nullptr;
     if (callback) callback({failure, {}});
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -13,7 +13,7 @@
 
 enum class HttpFailure : std::uint8_t {
   kNone,
-  kConnect,  ///< No byte of the request was sent.
+  kConnect,  ///< No byte of the request was sent; in time or not.
   kClosed,   ///< Closed or malformed before the response was whole.
   kTimeout,
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -81,6 +81,20 @@
   BOOST_TEST(!setup.Knows("b"));
 }
 
+// Guards against new work for a target that left without a word while this host
+// was cut off: the registry was there for the others, so that the target counts
+// as gone. Found by hunt 9027bcc6 on brierley-mesh, seed 392227058068.
+BOOST_AUTO_TEST_CASE(target_that_left_behind_a_cut_is_dropped_in_time) {
+  constexpr auto kLongestUse = milliseconds(2000);
+  Setup setup;
+  setup.tracker.OnContactLost(kStart);
+  const Instant contact = kStart + seconds(7);
+  setup.tracker.OnContact(contact);
+  setup.tracker.OnRemoved("a", 12, contact + milliseconds(1));
+  BOOST_TEST(setup.tracker.Tick(contact + kLongestUse));
+  BOOST_TEST(!setup.Knows("a"));
+}
+
 // Guards against new work for a target that announced its end before the
 // outage.
 BOOST_AUTO_TEST_CASE(draining_target_does_not_lapse) {
