Let a target's calls have the rank of the request that needs them

Cause: a target's calls had no link to their request. All had the highest importance, so that at a full service calls for deposits waited behind four calls for each lookup, and what was refused there was refused after the work above it was done; entries could not learn what lies behind a route.

Change: a call that is named after a request that runs here has its organisation and its hash, and an importance above that of new requests but below that of calls of more important requests. Levels heard behind it are translated to the importance of the request and reach the entry. The name gives no rights; without it a call is as before. Peer protocol version 2 (flag `open`).

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -22,7 +22,7 @@
 endfunction()
 
 file(GLOB core_tests CONFIGURE_DEPENDS tests/*_test.cpp)
-list(FILTER core_tests EXCLUDE REGEX "(fault_matrix|fault_pairs|peer_calls|shedding_order)_test")
+list(FILTER core_tests EXCLUDE REGEX "(fault_matrix|fault_pairs|onward_context|peer_calls|shedding_order)_test")
 foreach(source ${core_tests})
   lentilcross_add_test(${source})
 endforeach()
@@ -40,6 +40,7 @@
 # 6 s in a plain build, 68 s with AddressSanitizer.
 set_tests_properties(fault_pairs PROPERTIES TIMEOUT 300)
 lentilcross_add_test(tests/peer_calls_test.cpp lentilcross_pipeline)
+lentilcross_add_test(tests/onward_context_test.cpp lentilcross_matrix)
 lentilcross_add_test(tests/shedding_order_test.cpp lentilcross_matrix)
 
 if(TARGET lentilcross_daemon)
--- a/include/lentilcross/admission.h
+++ b/include/lentilcross/admission.h
@@ -112,8 +112,9 @@
 
   explicit TargetAdmission(const Init& init);
 
-  /// Number of calls that the target serves at once, from the target itself. It
-  /// replaces the estimate. 0: not known.
+  /// Number of calls that the target serves at once, from the target itself,
+  /// those included that wait for onward calls. It replaces the estimate. 0:
+  /// not known.
   void SetSlots(int slots);
   /// `longest_queue` comes from the preset in force.
   void SetLongestQueue(Duration longest_queue);
@@ -122,9 +123,9 @@
   Actions Finish(std::uint64_t number, ConcurrencyLimit::Sample sample,
                  Instant now);
   /// A started call waits for an onward call of its target, or goes on. The
-  /// wait takes no room and does not count as latency of this target, so that a
-  /// slow service behind it does not shrink its limit. Nested waits are
-  /// counted.
+  /// wait does not count as latency of this target, so that a slow service
+  /// behind it does not shrink its limit, and takes no room unless the number
+  /// of slots is known. Nested waits are counted.
   Actions BeginOnward(std::uint64_t number, Instant now);
   void EndOnward(std::uint64_t number, Instant now);
   /// A queued call was cancelled. False if it is not queued.
--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace lentilcross {
 
-inline constexpr int kPeerProtocolVersion = 1;
+inline constexpr int kPeerProtocolVersion = 2;
 
 /// Longest duration in a peer message. `Encode` limits longer ones to it and
 /// negative ones to 0.
@@ -58,6 +58,8 @@
   std::uint16_t extra_attempts = 0;
   bool idempotent = true;
   bool to_ticket_issuer = false;  ///< The receiver routes it further.
+  /// Of an open route: the target is told no organisation of `context`.
+  bool open = false;
 };
 
 /// Answer to a call: either an answer of the target (`refusal.reason` is
--- a/include/lentilcross/shedding.h
+++ b/include/lentilcross/shedding.h
@@ -17,6 +17,16 @@
 /// Bits of a rank below the importance.
 inline constexpr int kRankHashBits = 30;
 
+/// Importance of the calls that a request needs, while they are not done. It is
+/// above that of new requests that are no more important: refusing such a call
+/// wastes the work done so far.
+Importance ImportanceOfCalls(Importance request);
+
+/// Level for requests of importance `to` that refuses the same share of them as
+/// `level` refuses of importance `from`.
+std::uint32_t TranslateLevel(std::uint32_t level, Importance from,
+                             Importance to);
+
 /// Refuses requests at entry that would be refused by a service behind their
 /// route. Learns the services behind a route, and their levels for each
 /// organisation, from replies. Never refuses a request on behalf of a service
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -43,7 +43,11 @@
   void DropExpired(Instant now, Actions& actions);
   void Observe(Instant now);
   bool has_room() const {
-    return in_flight() < current_limit() && running.size() < init.max_started;
+    // A call keeps its slot while it waits for onward calls; what it loads is
+    // only known to an estimated limit.
+    const int taken =
+        slots > 0 ? static_cast<int>(running.size()) : in_flight();
+    return taken < current_limit() && running.size() < init.max_started;
   }
   int current_limit() const { return slots > 0 ? slots : limit.limit(); }
   int in_flight() const { return static_cast<int>(running.size()) - waiting; }
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "http_types.h"
 #include "lentilcross/error.h"
@@ -33,6 +34,10 @@
   /// Set by callers and echoed by targets. An answer with another value belongs
   /// to another request.
   std::string request_id;
+  /// Where targets pass no context on: name of the request during which a
+  /// target made the request with this name, or empty. What it says orders
+  /// work, and gives no rights.
+  std::function<std::string_view(std::string_view name)> parent_of;
   /// On every answer of a target; without it an answer is not genuine.
   std::string signature;
   /// On an answer: the target did not run the request.
--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -126,6 +126,7 @@
     call.extra_attempts =
         request.issuer ? out->allowance.LendAll() : out->allowance.LendHalf();
     call.idempotent = request.idempotent;
+    call.open = request.open;
     call.to_ticket_issuer = request.issuer.has_value();
   }
 
--- a/src/outgoing_calls.h
+++ b/src/outgoing_calls.h
@@ -20,6 +20,7 @@
   HttpRequest request;
   Instant deadline{};
   bool idempotent = true;
+  bool open = false;  ///< Of an open route.
   std::uint16_t extra_attempts = 0;
   /// At entry: checked again when the request leaves a wait.
   std::optional<KeyRing::Lookup> key;
--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -93,6 +93,7 @@
     v.Integer(m.extra_attempts, LENTILCROSS_CONFIG_MAX_EXTRA_ATTEMPTS);
     v.Flag(m.idempotent);
     v.Flag(m.to_ticket_issuer);
+    v.Flag(m.open);
   }
 };
 
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "call_replies.h"
+#include "lentilcross/config.h"
+#include "lentilcross/shedding.h"
 #include "request_rules.h"
 #include "ticket_calls.h"
 
@@ -19,6 +21,8 @@
   const RouteEntry* route = nullptr;
   std::optional<KeyRing::Lookup> key;
   RequestContext context;
+  /// Token of the call during which a local target made this request.
+  std::string parent;
   Instant arrived{};
   Instant deadline{};
   std::optional<std::uint64_t> ticket;  ///< Serial of a claimed ticket.
@@ -39,9 +43,10 @@
 
 struct RequestPipeline::Impl : std::enable_shared_from_this<Impl> {
   Impl(DataState& data_state, OutgoingCalls& outgoing_calls,
-       RateWaits& rate_waits, Respond respond_hook)
+       TargetCalls& target_calls, RateWaits& rate_waits, Respond respond_hook)
       : state(data_state),
         outgoing(outgoing_calls),
+        targets(target_calls),
         waits(rate_waits),
         respond(std::move(respond_hook)) {}
 
@@ -119,6 +124,25 @@
     context.importance = ImportanceOf(entry);
     context.version = entry.configuration->version;
     context.entry_host = state.self;
+    if (IsOnwardCall(entry)) FindParent(entry);
+  }
+
+  /// A call that belongs to a request has its organisation and its rank, so
+  /// that all hops agree on which requests to shed.
+  void FindParent(Entry& entry) {
+    if (!state.dialect.parent_of) return;
+    const std::string_view name = state.dialect.parent_of(entry.request_name);
+    const RequestContext* parent = targets.FindContext(name);
+    if (parent == nullptr) return;
+    entry.parent = name;
+    RequestContext& context = entry.context;
+    context.id = parent->id;
+    context.organisation = parent->organisation;
+    context.importance = parent->depth == 0
+                             ? ImportanceOfCalls(parent->importance)
+                             : parent->importance;
+    context.depth = static_cast<std::uint8_t>(
+        std::min(parent->depth + 1, LENTILCROSS_CONFIG_MAX_DEPTH));
   }
 
   /// The precedence of an organisation raises its requests among those below
@@ -273,13 +297,18 @@
     }
     request.deadline = entry->deadline;
     request.idempotent = entry->route->idempotent;
+    request.open = entry->route->open;
     request.extra_attempts = static_cast<std::uint16_t>(ExtraAttempts(*entry));
     request.key = entry->key;
     request.issuer = entry->issuer;
     if (entry->issuer) ++state.stats.tickets_forwarded;
+    targets.BeginOnward(entry->parent);
     const auto handle = outgoing.Start(
         std::move(request), [weak = weak_from_this(), entry](Reply&& reply) {
-          if (auto self = weak.lock()) self->Finish(entry, std::move(reply));
+          auto self = weak.lock();
+          if (!self) return;
+          self->targets.EndOnward(entry->parent);
+          self->Finish(entry, std::move(reply));
         });
     if (!entry->ended) entry->outgoing = handle;
   }
@@ -296,15 +325,29 @@
   void Finish(const EntryPtr& entry, Reply&& reply) {
     if (entry->ended) return;
     if (entry->ticket) FinishTicket(state.tickets, *entry->ticket, reply);
-    if (entry->route != nullptr && !reply.levels.empty()) {
-      state.gate.OnReply(entry->route->id, entry->context.organisation,
-                         reply.levels, state.Now());
-    }
+    if (entry->route != nullptr) Learn(*entry, reply.levels);
     AdviseRetry(reply.refusal);
     HttpResponse response = ToHttpResponse(Reply(reply), state.dialect);
     End(entry, reply, std::move(response));
   }
 
+  /// Levels behind a call of a target count for the request that needs it.
+  void Learn(const Entry& entry, std::vector<ServiceLevel>& levels) {
+    if (levels.empty()) return;
+    const RequestContext* parent =
+        entry.parent.empty() ? nullptr : targets.FindContext(entry.parent);
+    if (parent == nullptr) {
+      state.gate.OnReply(entry.route->id, entry.context.organisation, levels,
+                         state.Now());
+      return;
+    }
+    for (ServiceLevel& level : levels) {
+      level.level = TranslateLevel(level.level, entry.context.importance,
+                                   parent->importance);
+    }
+    targets.NoteOnward(entry.parent, levels, /*exhausted=*/false);
+  }
+
   void AdviseRetry(Refusal& refusal) {
     switch (refusal.reason) {
       case Reason::kRateExceeded:
@@ -382,15 +425,17 @@
 
   DataState& state;
   OutgoingCalls& outgoing;
+  TargetCalls& targets;
   RateWaits& waits;
   Respond respond;
   std::unordered_map<ExchangeId, EntryPtr> entries;
 };
 
 RequestPipeline::RequestPipeline(DataState& state, OutgoingCalls& outgoing,
-                                 RateWaits& waits, Respond respond)
-    : impl_(
-          std::make_shared<Impl>(state, outgoing, waits, std::move(respond))) {}
+                                 TargetCalls& targets, RateWaits& waits,
+                                 Respond respond)
+    : impl_(std::make_shared<Impl>(state, outgoing, targets, waits,
+                                   std::move(respond))) {}
 
 RequestPipeline::~RequestPipeline() = default;
 
--- a/src/request_pipeline.h
+++ b/src/request_pipeline.h
@@ -18,8 +18,8 @@
   using ExchangeId = std::uint64_t;
   using Respond = std::function<void(ExchangeId, HttpResponse)>;
 
-  RequestPipeline(DataState& state, OutgoingCalls& outgoing, RateWaits& waits,
-                  Respond respond);
+  RequestPipeline(DataState& state, OutgoingCalls& outgoing,
+                  TargetCalls& targets, RateWaits& waits, Respond respond);
   ~RequestPipeline();
 
   void OnRequest(ExchangeId exchange, HttpRequest&& request);
--- a/src/shedding.cpp
+++ b/src/shedding.cpp
@@ -33,6 +33,20 @@
          static_cast<std::uint32_t>(hash >> (64 - kRankHashBits));
 }
 
+Importance ImportanceOfCalls(Importance request) {
+  return request >= Importance::kStandard ? Importance::kCritical
+                                          : Importance::kStandard;
+}
+
+std::uint32_t TranslateLevel(std::uint32_t level, Importance from,
+                             Importance to) {
+  const auto at = static_cast<Importance>(level >> kRankHashBits);
+  if (at < from) return 0;
+  const auto first = static_cast<std::uint32_t>(to) << kRankHashBits;
+  if (at > from) return first + (1U << kRankHashBits) - 1;
+  return first | (level & ((1U << kRankHashBits) - 1));
+}
+
 // A level that is not confirmed holds for its lifetime, then falls to nothing
 // within another one, so that shedding ends without a sudden burst.
 double EntryGate::Current(const Level& level, Instant now) const {
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -192,13 +192,24 @@
       Refuse(running, Reason::kWithdrawnKey, "key withdrawn while queued", {});
       return;
     }
-    if (!state.dialect.context.empty() && !IssueToken(running)) {
+    if (state.dialect.parent_of) {
+      NameCall(running);
+    } else if (!state.dialect.context.empty() && !IssueToken(running)) {
       Refuse(running, Reason::kOverloaded, "too many context tokens", {});
       return;
     }
     Send(running);
   }
 
+  /// Onward calls are recognised by the caller's name for the request, which
+  /// is the token then. Of two calls with one name the first keeps it.
+  void NameCall(const RunningPtr& running) {
+    const HttpRequest request{{}, {}, running->call.headers, {}};
+    const std::string name(request.header(state.dialect.request_id));
+    if (name.empty() || !by_token.emplace(name, running).second) return;
+    running->token = name;
+  }
+
   bool IssueToken(const RunningPtr& running) {
     ContextTokens::Entry entry;
     entry.context = running->call.context;
@@ -436,6 +447,11 @@
   return impl_->Cancel({origin, number});
 }
 
+const RequestContext* TargetCalls::FindContext(std::string_view token) const {
+  const RunningPtr running = impl_->FindByToken(token);
+  return running ? &running->call.context : nullptr;
+}
+
 void TargetCalls::BeginOnward(std::string_view token) {
   const RunningPtr running = impl_->FindByToken(token);
   if (!running) return;
--- a/src/target_calls.h
+++ b/src/target_calls.h
@@ -38,6 +38,9 @@
   /// never will.
   bool Cancel(Incarnation origin, CallNumber number);
 
+  /// What was decided about the running call of the token; null if it has
+  /// ended. Where the dialect names calls, the name stands for the token.
+  const RequestContext* FindContext(std::string_view token) const;
   /// The running call of the token waits for an onward call, or goes on.
   void BeginOnward(std::string_view token);
   void EndOnward(std::string_view token);
--- a/src/target_request.cpp
+++ b/src/target_request.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// Empty if the call belongs to no organisation and the dialect then names
-/// none.
+/// Empty if the call belongs to no organisation, or is of an open route, and
+/// the dialect then names none.
 std::string OrganisationOf(const Call& call, const Configuration* configuration,
                            const HttpDialect& dialect) {
-  if (configuration != nullptr) {
+  if (configuration != nullptr && !call.open) {
     const auto it =
         configuration->organisations.find(call.context.organisation);
     if (it != configuration->organisations.end()) return it->second.name;
--- a/tests/matrix/node.cpp
+++ b/tests/matrix/node.cpp
@@ -55,7 +55,7 @@
         return tickets_->OnCall(peer, std::move(call), std::move(done));
       });
   entry_ = std::make_unique<RequestPipeline>(
-      *state_, *outgoing_, *waits_,
+      *state_, *outgoing_, *targets_, *waits_,
       [this](std::uint64_t exchange, HttpResponse response) {
         const auto it = world_.exchanges_.find(exchange);
         if (it == world_.exchanges_.end()) return;
--- a/tests/shedding_order_test.cpp
+++ b/tests/shedding_order_test.cpp
@@ -118,7 +118,7 @@
         targets_(*state_, target_, {{"shop-1", "shop", {}}}),
         outgoing_(*state_, links_, targets_),
         waits_(*state_, RateWaits::Hooks{[] {}}),
-        pipeline_(*state_, outgoing_, waits_,
+        pipeline_(*state_, outgoing_, targets_, waits_,
                   [this](std::uint64_t exchange, const HttpResponse& response) {
                     OnResponse(exchange, response);
                   }),
