Leave slots free at a target that slows when nearly full

Cause: under overload every slot of a target was filled. Freight and stores are slower by 0.3 when nearly full, so that 14 slots served less than 13 would have.

Change: SlotLimit compares the latency of calls by the slots that were taken when they started, each route with itself, waits for onward calls left out, and runs as many calls at once as serve most.

--- a/include/lentilcross/admission.h
+++ b/include/lentilcross/admission.h
@@ -94,6 +94,7 @@
   struct Entry {
     std::uint64_t number = 0;
     RequestId request;
+    RouteId route;  ///< Calls of one route take similar time.
     OrganisationId organisation;
     double weight = 1;
     Importance importance = Importance::kLookup;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -6,6 +6,7 @@
 #include "call_queue.h"
 #include "lentilcross/shedding.h"
 #include "level_estimator.h"
+#include "slot_limit.h"
 
 namespace lentilcross {
 namespace {
@@ -31,6 +32,8 @@
 
   struct Running {
     Instant started{};
+    RouteId route;
+    int taken = 0;  ///< Slots, the own one included, at the start.
     int onward_calls = 0;
     Instant onward_since{};
     Duration onward{};  ///< Time spent waiting for onward calls.
@@ -45,16 +48,15 @@
   bool has_room() const {
     // A call keeps its slot while it waits for onward calls; what it loads is
     // only known to an estimated limit.
-    const int taken =
-        slots > 0 ? static_cast<int>(running.size()) : in_flight();
+    const int taken = slots ? static_cast<int>(running.size()) : in_flight();
     return taken < current_limit() && running.size() < init.max_started;
   }
-  int current_limit() const { return slots > 0 ? slots : limit.limit(); }
+  int current_limit() const { return slots ? slots->limit() : limit.limit(); }
   int in_flight() const { return static_cast<int>(running.size()) - waiting; }
   std::size_t queue_bound() const;
 
   Init init;
-  int slots = 0;  ///< 0: not known.
+  std::optional<SlotLimit> slots;  ///< Empty: not known.
   ConcurrencyLimit limit;
   CallQueue queue;
   LevelEstimator levels{Instant{}};
@@ -73,7 +75,10 @@
 
 void TargetAdmission::Impl::Start(const Entry& entry, Instant now,
                                   Actions& actions) {
-  running[entry.number].started = now;
+  Running& call = running[entry.number];
+  call.started = now;
+  call.route = entry.route;
+  call.taken = static_cast<int>(running.size());
   queue.CountStart(entry.organisation, entry.weight, now);
   levels.CountStart(entry.importance);
   ++stats.admitted;
@@ -129,14 +134,20 @@
 
 void TargetAdmission::Impl::Observe(Instant now) {
   const double base = Seconds(limit.base_latency(now)).count();
-  const double served = slots > 0 ? slots : limit.estimate();
+  const double served = slots ? slots->limit() : limit.estimate();
   levels.Update(base > 0 ? served / base : 0, now);
 }
 
 TargetAdmission::TargetAdmission(const Init& init)
     : impl_(std::make_shared<Impl>(init)) {}
 
-void TargetAdmission::SetSlots(int slots) { impl_->slots = slots; }
+void TargetAdmission::SetSlots(int slots) {
+  if (slots <= 0) {
+    impl_->slots.reset();
+  } else if (!impl_->slots || impl_->slots->slots() != slots) {
+    impl_->slots.emplace(slots);
+  }
+}
 
 void TargetAdmission::SetLongestQueue(Duration longest_queue) {
   impl_->init.longest_queue = longest_queue;
@@ -177,6 +188,9 @@
   }
   const Duration latency = now - found->second.started - found->second.onward;
   impl.limit.Record(sample, latency, impl.in_flight(), now);
+  if (impl.slots && sample == ConcurrencyLimit::Sample::kOk) {
+    impl.slots->Record(found->second.route, found->second.taken, latency, now);
+  }
   impl.running.erase(found);
   impl.StartQueued(now, actions);
   impl.Observe(now);
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -131,6 +131,7 @@
     TargetAdmission::Entry entry;
     entry.number = running.number;
     entry.request = context.id;
+    entry.route = running.call.route;
     entry.organisation = context.organisation;
     entry.importance = context.importance;
     entry.deadline = running.deadline;
