Place calls by the latency observed, near targets first

Cause: calls left their region only after refusals.

Change: the router learns the time from call to answer for each kind of call at each target. A call goes to another domain or region with a probability that grows with the part of its target latency that this saves, beyond a handicap of 0.05 and 0.35 of it. A failure of a service behind a target no longer counts against the target itself.

Tests: routing (slower region keeps its calls, overloaded region gives calls away and gets them back, overload everywhere keeps calls near).

--- a/include/lentilcross/routing.h
+++ b/include/lentilcross/routing.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lentilcross/call_latency.h"
 #include "lentilcross/configuration.h"
 #include "lentilcross/membership.h"
 #include "lentilcross/types.h"
@@ -45,15 +46,16 @@
   void Apply(const std::shared_ptr<const Configuration>& configuration,
              Instant now);
   /// Avoids the targets in `tried` unless nothing else is left. Never chooses a
-  /// host that is suspected, leaving or left.
-  std::optional<Pick> Choose(ServiceId service, const Membership& membership,
+  /// host that is suspected, leaving or left. Prefers near targets, unless the
+  /// time that a farther one saves is a good part of the target latency.
+  std::optional<Pick> Choose(const CallKind& kind, const Membership& membership,
                              const std::vector<TargetId>& tried, Instant now,
                              Random& random);
   /// A chosen target is about to be called. Each start is followed by one
   /// `OnEnd`.
   void OnStart(TargetId target);
-  void OnEnd(TargetId target, Observation observation, Duration latency,
-             Instant now);
+  void OnEnd(TargetId target, const CallKind& kind, Observation observation,
+             Duration latency, Instant now);
   const Stats& stats() const { return stats_; }
 
  private:
@@ -74,6 +76,7 @@
   struct Service {
     std::vector<Target> targets;
     std::array<double, 3> shed_ratio{};  ///< Moving average, by distance.
+    CallLatency latency;
   };
   struct Place {
     ServiceId service;
@@ -81,6 +84,7 @@
   };
 
   explicit Router(const Init& init) : init_(init) {}
+  /// Takes what is known of the service out of `services_`.
   Service Merge(const ServiceEntry& entry, const Configuration& configuration,
                 Instant now);
   int DistanceTo(HostId host, const Configuration& configuration) const;
@@ -90,6 +94,9 @@
   Target* PickAt(Service& service, const std::vector<std::size_t>& usable,
                  int distance, Instant now, Random& random) const;
   Target* PickNear(Service& service, Instant now, Random& random);
+  /// Leaves `near` for a farther target if that saves enough time.
+  Target* PickFaster(Service& service, Target* near, const CallKind& kind,
+                     Instant now, Random& random) const;
   void CollectUsable(Service& service, const Membership& membership,
                      const std::vector<TargetId>& tried, Instant now);
   double Load(const Target& target, Instant now) const;
--- a/src/onward_pipeline.cpp
+++ b/src/onward_pipeline.cpp
@@ -123,6 +123,8 @@
     request.request = std::move(onward->request);
     RemoveOwnHeaders(request.request.headers, state.dialect);
     request.deadline = onward->deadline;
+    request.target_latency =
+        std::min(onward->route->target_latency, onward->route->timeout);
     request.idempotent = onward->route->idempotent;
     if (auto* entry = state.tokens.Find(onward->token)) {
       onward->lent = entry->allowance.LendHalf();
--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -48,6 +48,11 @@
   Instant started{};
 };
 
+CallKind KindOf(const OutgoingRequest& request) {
+  return {request.service, request.route, request.context.importance,
+          request.target_latency};
+}
+
 using OutgoingPtr = std::shared_ptr<Outgoing>;
 
 }  // namespace
@@ -80,7 +85,7 @@
       return;
     }
     const auto pick = state.router.Choose(
-        out->request.service, state.membership, out->tried, now, state.random);
+        KindOf(out->request), state.membership, out->tried, now, state.random);
     if (!pick) {
       FinishRefused(out, Reason::kNoTarget, "no usable target of the service");
       return;
@@ -220,7 +225,8 @@
     MergeLevels(out->levels, reply.levels);
     if (!out->request.issuer) {
       const Instant now = state.Now();
-      state.router.OnEnd(out->target, ObservationOf(reply, out->abort_reason),
+      state.router.OnEnd(out->target, KindOf(out->request),
+                         ObservationOf(reply, out->abort_reason),
                          now - out->started, now);
     }
     out->history.Record(reply);
--- a/src/outgoing_calls.h
+++ b/src/outgoing_calls.h
@@ -19,6 +19,7 @@
   ServiceId service;
   HttpRequest request;
   Instant deadline{};
+  Duration target_latency{};  ///< Of the route; 0: not set.
   bool idempotent = true;
   bool open = false;  ///< Of an open route.
   std::uint16_t extra_attempts = 0;
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -296,6 +296,8 @@
                                            state.own_service);
     }
     request.deadline = entry->deadline;
+    request.target_latency =
+        std::min(entry->route->target_latency, entry->route->timeout);
     request.idempotent = entry->route->idempotent;
     request.open = entry->route->open;
     request.extra_attempts = static_cast<std::uint16_t>(ExtraAttempts(*entry));
@@ -325,15 +327,15 @@
   void Finish(const EntryPtr& entry, Reply&& reply) {
     if (entry->ended) return;
     if (entry->ticket) FinishTicket(state.tickets, *entry->ticket, reply);
-    if (entry->route != nullptr) Learn(*entry, reply.levels);
+    if (entry->route != nullptr) Learn(*entry, reply);
     AdviseRetry(reply.refusal);
     HttpResponse response = ToHttpResponse(Reply(reply), state.dialect);
     End(entry, reply, std::move(response));
   }
 
   /// Levels behind a call of a target count for the request that needs it.
-  void Learn(const Entry& entry, std::vector<ServiceLevel>& levels) {
-    if (levels.empty()) return;
+  void Learn(const Entry& entry, Reply& reply) {
+    std::vector<ServiceLevel>& levels = reply.levels;
     const RequestContext* parent =
         entry.parent.empty() ? nullptr : targets.FindContext(entry.parent);
     if (parent == nullptr) {
@@ -345,7 +347,7 @@
       level.level = TranslateLevel(level.level, entry.context.importance,
                                    parent->importance);
     }
-    targets.NoteOnward(entry.parent, levels, /*exhausted=*/false);
+    targets.NoteOnward(entry.parent, levels, reply.attempts_exhausted);
   }
 
   void AdviseRetry(Refusal& refusal) {
--- a/src/retry_policy.cpp
+++ b/src/retry_policy.cpp
@@ -96,7 +96,9 @@
   using Observation = Router::Observation;
   if (IsShed(reply)) return Observation::kShed;
   if (IsAnswer(reply)) {
-    return reply.status >= 500 ? Observation::kFailed : Observation::kOk;
+    // A failure of a service behind the target is none of its own.
+    const bool own = reply.status >= 500 && !reply.attempts_exhausted;
+    return own ? Observation::kFailed : Observation::kOk;
   }
   switch (reply.refusal.reason) {
     case Reason::kDraining:
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -25,6 +25,13 @@
 // Weight of a target that says it is still slow after its start.
 constexpr double kColdWeight = 0.5;
 
+// Spill-over for latency, in parts of the target latency of a call. Another
+// region costs its round trip at each hop behind and scarce bandwidth: only
+// what endangers the answer's being in time is worth it. With a gradual begin
+// hosts do not swing between regions together.
+constexpr std::array<double, kDistances> kHandicap = {0, 0.05, 0.35};
+constexpr double kFullSpill = 0.25;
+
 bool Contains(const std::vector<TargetId>& targets, TargetId target) {
   return std::find(targets.begin(), targets.end(), target) != targets.end();
 }
@@ -71,7 +78,17 @@
     state.distance = DistanceTo(target.host, configuration);
     merged.targets.push_back(state);
   }
-  if (old != services_.end()) merged.shed_ratio = old->second.shed_ratio;
+  if (old != services_.end()) {
+    merged.shed_ratio = old->second.shed_ratio;
+    merged.latency = std::move(old->second.latency);
+    for (const Target& target : old->second.targets) {
+      const TargetId id = target.entry.id;
+      const bool kept = std::any_of(
+          merged.targets.begin(), merged.targets.end(),
+          [id](const Target& other) { return other.entry.id == id; });
+      if (!kept) merged.latency.Forget(id);
+    }
+  }
   return merged;
 }
 
@@ -184,11 +201,31 @@
   return nearest;
 }
 
-std::optional<Router::Pick> Router::Choose(ServiceId service_id,
+Router::Target* Router::PickFaster(Service& service, Target* near,
+                                   const CallKind& kind, Instant now,
+                                   Random& random) const {
+  if (near == nullptr || kind.target_latency <= Duration::zero()) return near;
+  const auto expected = [&](const Target& target) {
+    return Seconds(service.latency.Expect(kind, target.entry.id, now)) /
+               Seconds(kind.target_latency) +
+           kHandicap[static_cast<std::size_t>(target.distance)];
+  };
+  std::uniform_real_distribution<double> uniform(0, 1);
+  Target* chosen = near;
+  for (int distance = near->distance + 1; distance < kDistances; ++distance) {
+    Target* far = PickAt(service, usable_, distance, now, random);
+    if (far == nullptr) continue;
+    const double saved = expected(*chosen) - expected(*far);
+    if (saved > 0 && uniform(random) < saved / kFullSpill) chosen = far;
+  }
+  return chosen;
+}
+
+std::optional<Router::Pick> Router::Choose(const CallKind& kind,
                                            const Membership& membership,
                                            const std::vector<TargetId>& tried,
                                            Instant now, Random& random) {
-  const auto found = services_.find(service_id);
+  const auto found = services_.find(kind.service);
   if (found == services_.end()) {
     ++stats_.no_target;
     return std::nullopt;
@@ -200,7 +237,8 @@
   } else {
     CollectUsable(service, membership, tried, now);
     if (usable_.empty()) CollectUsable(service, membership, {}, now);
-    target = PickNear(service, now, random);
+    target =
+        PickFaster(service, PickNear(service, now, random), kind, now, random);
   }
   if (target == nullptr) {
     ++stats_.no_target;
@@ -218,8 +256,8 @@
   if (found->ejected) ++found->probes_out;
 }
 
-void Router::OnEnd(TargetId target, Observation observation,
-                   Duration /*latency*/, Instant now) {
+void Router::OnEnd(TargetId target, const CallKind& kind,
+                   Observation observation, Duration latency, Instant now) {
   const auto place = places_.find(target);
   if (place == places_.end()) return;
   Service& service = services_[place->second.service];
@@ -234,6 +272,14 @@
     nearby += kShedSmoothing * (shed - nearby);
     state.shed_ratio += kShedSmoothing * (shed - state.shed_ratio);
   }
+  if (observation != Observation::kRefused &&
+      kind.target_latency > Duration::zero()) {
+    // A refusal says that no answer was to be had in time.
+    const bool shed = observation == Observation::kShed;
+    service.latency.Record(
+        kind, target, shed ? std::max(latency, kind.target_latency) : latency,
+        now);
+  }
   if (state.ejected) {
     EndProbe(state, !failed, now);
   } else {
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -11,6 +11,7 @@
 
 const Instant kStart{std::chrono::hours(1)};
 const ServiceId kService = ServiceId::FromName("stock");
+const CallKind kKind{kService};
 const Incarnation kLife(1);
 
 // Targets named by their number; the domain of target N is `domains[N]`:
@@ -46,18 +47,18 @@
     router.Apply(Make(domains), now);
   }
   std::optional<Router::Pick> Choose(const std::vector<TargetId>& tried = {}) {
-    return router.Choose(kService, membership, tried, now, random);
+    return router.Choose(kKind, membership, tried, now, random);
   }
   void Call(Observation observation) {
     const auto pick = Choose();
     router.OnStart(pick->target);
-    router.OnEnd(pick->target, observation, milliseconds(1), now);
+    router.OnEnd(pick->target, kKind, observation, milliseconds(1), now);
   }
   void Fail(const std::string& name, int times) {
     const auto target = TargetId::FromName(name);
     for (int i = 0; i < times; ++i) {
       router.OnStart(target);
-      router.OnEnd(target, Observation::kFailed, milliseconds(1), now);
+      router.OnEnd(target, kKind, Observation::kFailed, milliseconds(1), now);
     }
   }
   // How often each target is chosen; the calls stay outstanding if `hold`.
@@ -136,7 +137,7 @@
   BOOST_TEST((Choose()->target == kFirst));
   router.OnStart(kFirst);
   BOOST_TEST(Count(20)[kFirst] == 0);
-  router.OnEnd(kFirst, Observation::kOk, milliseconds(1), now);
+  router.OnEnd(kFirst, kKind, Observation::kOk, milliseconds(1), now);
   auto counts = Count(100, true);
   BOOST_TEST(counts[kFirst] > 0);
   BOOST_TEST(counts[kFirst] < 25);
@@ -162,20 +163,80 @@
   Use({"near", "near"});
   for (int i = 0; i < 200; ++i) {
     router.OnStart(kFirst);
-    router.OnEnd(kFirst, Observation::kShed, milliseconds(0), now);
+    router.OnEnd(kFirst, kKind, Observation::kShed, milliseconds(0), now);
   }
   router.OnStart(kSecond);
   BOOST_TEST(Count(100)[kFirst] < 60);
 }
 
+const CallKind kAimed{kService, RouteId(1), Importance::kLookup,
+                      milliseconds(1000)};
+
+/// Calls from one host to a near target and one in another region. The latency
+/// of each is set by the test.
+struct Latencies : Fixture {
+  Latencies() { Use({"near", "far"}); }
+
+  /// Part of the calls that go to the other region.
+  double FarShare(Duration near, Duration far, int calls = 400) {
+    int to_far = 0;
+    for (int i = 0; i < calls; ++i) {
+      now += milliseconds(10);
+      const auto pick = router.Choose(kAimed, membership, {}, now, random);
+      const bool is_far = pick->target == kSecond;
+      to_far += is_far ? 1 : 0;
+      router.OnStart(pick->target);
+      router.OnEnd(pick->target, kAimed, Observation::kOk, is_far ? far : near,
+                   now);
+    }
+    return static_cast<double>(to_far) / calls;
+  }
+};
+
+// Replays a region whose targets are fast enough for the target latency, beside
+// a region with faster ones: bytes between regions bring its callers nothing.
+BOOST_FIXTURE_TEST_CASE(slower_region_keeps_its_calls, Latencies) {
+  BOOST_TEST(FarShare(milliseconds(350), milliseconds(120)) == 0);
+}
+
+// Replays a region whose targets queue for longer than answers may take, while
+// those of another region have room, and the end of that queue.
+BOOST_FIXTURE_TEST_CASE(overloaded_region_gives_calls_away, Latencies) {
+  FarShare(milliseconds(200), milliseconds(120));
+  FarShare(milliseconds(1100), milliseconds(120), 100);
+  BOOST_TEST(FarShare(milliseconds(1100), milliseconds(120)) > 0.5);
+  FarShare(milliseconds(200), milliseconds(120), 200);
+  BOOST_TEST(FarShare(milliseconds(200), milliseconds(120)) == 0);
+}
+
+// Guards against calls that leave their region for another that queues too.
+BOOST_FIXTURE_TEST_CASE(overload_everywhere_keeps_calls_near, Latencies) {
+  FarShare(milliseconds(1100), milliseconds(1100), 100);
+  BOOST_TEST(FarShare(milliseconds(1100), milliseconds(1100)) < 0.1);
+}
+
+// Guards against spill-over of one kind of calls because another one is slow.
+BOOST_FIXTURE_TEST_CASE(kinds_of_calls_are_told_apart, Latencies) {
+  FarShare(milliseconds(1100), milliseconds(120));
+  CallKind important = kAimed;
+  important.importance = Importance::kCritical;
+  for (int i = 0; i < 100; ++i) {
+    const auto pick = router.Choose(important, membership, {}, now, random);
+    BOOST_TEST((pick->target == kFirst));
+    router.OnStart(pick->target);
+    router.OnEnd(pick->target, important, Observation::kOk, milliseconds(50),
+                 now);
+  }
+}
+
 // Guards against counts that are lost with each new configuration version.
 BOOST_FIXTURE_TEST_CASE(apply_keeps_what_is_known, Fixture) {
   Use({"near", "near"});
   Fail("0", 10);
   Use({"near", "near", "near"});
   BOOST_TEST(Count(100).count(kFirst) == 0U);
-  BOOST_TEST(
-      !router.Choose(ServiceId::FromName("none"), membership, {}, now, random));
+  BOOST_TEST(!router.Choose({ServiceId::FromName("none")}, membership, {}, now,
+                            random));
 }
 
 }  // namespace lentilcross
--- a/tools/bench/caller.cpp
+++ b/tools/bench/caller.cpp
@@ -71,9 +71,9 @@
   if (world_.policy != Policy::kLentilcross) {
     return ChooseByEndpoint(pending.hop);
   }
-  const auto pick =
-      router_.Choose(world_.deployment.services[pending.hop], world_.membership,
-                     pending.tried, world_.loop.now(), world_.random);
+  const auto pick = router_.Choose({world_.deployment.services[pending.hop]},
+                                   world_.membership, pending.tried,
+                                   world_.loop.now(), world_.random);
   if (!pick) return std::nullopt;
   return pick->target;
 }
@@ -117,7 +117,8 @@
 void Caller::OnEnd(const PendingPtr& pending, TargetId target,
                    std::uint16_t lent, Instant sent, CallReply reply) {
   const Instant now = world_.loop.now();
-  router_.OnEnd(target, ObservationOf(reply.end), now - sent, now);
+  router_.OnEnd(target, {world_.deployment.services[pending->hop]},
+                ObservationOf(reply.end), now - sent, now);
   pending->allowance.TakeBack(reply.extra_left, lent);
   if (MayRepeat(*pending, reply)) {
     Attempt(pending);
--- a/tools/bench/decision_benchmark.cpp
+++ b/tools/bench/decision_benchmark.cpp
@@ -53,11 +53,13 @@
       core.gate.Admit(route, entry.organisation, entry.importance,
                       entry.request, core.now, core.random);
   benchmark::DoNotOptimize(verdict);
-  const auto pick = core.router.Choose(
-      core.deployment.services[0], core.membership, {}, core.now, core.random);
+  const CallKind kind{core.deployment.services[0]};
+  const auto pick =
+      core.router.Choose(kind, core.membership, {}, core.now, core.random);
   core.router.OnStart(pick->target);
   auto offered = core.admission.Offer(entry, core.now);
-  core.router.OnEnd(pick->target, Router::Observation::kOk, kStep, core.now);
+  core.router.OnEnd(pick->target, kind, Router::Observation::kOk, kStep,
+                    core.now);
   return offered;
 }
 
