Ping peer links only where nothing else tells

Cause: every link was pinged from both sides every 0.5 s when idle (an eighth of the handover) and every 0.1 s while a call was outstanding.

Change: a link is pinged after silence, as any message shows as much. Links within the own failure domain, whose digests count as contact for quotas, and busy links, where the other direction may be cut, keep one ping in each contact interval.

--- a/src/daemon_init.h
+++ b/src/daemon_init.h
@@ -109,9 +109,10 @@
   StatsHook on_stats;
 };
 
-/// Longest time between two digests to peers, and between two heartbeats of an
-/// idle link. Own quotas are in force for half of `rate_handover` after a
-/// contact; with an eighth a digest that is lost or late suspends none.
+/// Longest time between two digests to peers, and between two heartbeats of a
+/// link within the failure domain. Own quotas are in force for half of
+/// `rate_handover` after a contact; with an eighth a digest that is lost or
+/// late suspends none.
 inline Duration LongestContactInterval(const DaemonInit& init) {
   return init.rate_handover / 8;
 }
--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -49,8 +49,8 @@
   links.failure_domain = state.failure_domain;
   links.keys = init.peer_keys;
   links.seed = state.incarnation.value();
-  links.heartbeat_idle =
-      std::min(links.heartbeat_idle, LongestContactInterval(init));
+  links.contact_interval =
+      std::min(links.contact_interval, LongestContactInterval(init));
   return links;
 }
 
--- a/src/peer_links.cpp
+++ b/src/peer_links.cpp
@@ -72,7 +72,7 @@
   const Instant now = std::chrono::steady_clock::now();
   if (entry.outstanding == 0 && change > 0) {
     entry.busy_since = now;
-    if (now - entry.pinged >= impl_->init.heartbeat_busy) {
+    if (impl_->IsPingDue(entry, /*busy=*/true, now)) {
       impl_->SendPing(link, entry, now);
     }
   }
--- a/src/peer_links.h
+++ b/src/peer_links.h
@@ -23,8 +23,13 @@
     Incarnation incarnation;
     FailureDomainId failure_domain;
     std::vector<std::string> keys;
+    /// Silence after which a link is pinged, with and without requests
+    /// outstanding.
     Duration heartbeat_busy = std::chrono::milliseconds(100);
     Duration heartbeat_idle = std::chrono::seconds(1);
+    /// Longest time between two pings of links whose answers count as contact:
+    /// those within the own failure domain, and those that are busy.
+    Duration contact_interval = std::chrono::seconds(1);
     Duration dead_busy = std::chrono::milliseconds(300);
     Duration dead_idle = std::chrono::seconds(3);
     Duration handshake = std::chrono::seconds(1);
--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -405,8 +405,7 @@
       Drop(id, DownKind::kSilent);
       return;
     }
-    const Duration interval = busy ? init.heartbeat_busy : init.heartbeat_idle;
-    if (now - link.pinged >= interval) SendPing(id, link, now);
+    if (IsPingDue(link, busy, now)) SendPing(id, link, now);
     const bool unused = !busy && now - link.used > init.close_unused_after;
     if (unused && !link.inbound && !link.closing) {
       link.closing = true;
@@ -414,6 +413,17 @@
     }
   }
 
+  /// Any message tells as much as an answer to a ping, but for two things: when
+  /// the peer was last in contact, and whether this side is heard, too.
+  bool IsPingDue(const Link& link, bool busy, Instant now) const {
+    const bool near = link.peer.failure_domain == init.failure_domain;
+    if ((near || busy) && now - link.pinged >= init.contact_interval) {
+      return true;
+    }
+    const Duration silence = busy ? init.heartbeat_busy : init.heartbeat_idle;
+    return now - std::max(link.pinged, link.heard) >= silence;
+  }
+
   void SendPing(SocketId id, Link& link, Instant now) {
     link.pinged = now;
     SendRaw(id, Ping{++link.pings});
--- a/tests/daemon/peer_port_test.cpp
+++ b/tests/daemon/peer_port_test.cpp
@@ -141,6 +141,37 @@
   setup.CheckServes();
 }
 
+// Guards against pings that double the messages of a busy link: what the peer
+// sends shows as much. One in each contact interval is left, for the quotas.
+BOOST_AUTO_TEST_CASE(link_with_traffic_is_hardly_pinged) {
+  constexpr int kMessages = 40;
+  constexpr auto kGap = std::chrono::milliseconds(30);
+  constexpr auto kContactInterval = std::chrono::milliseconds(625);
+  Fleet fleet;
+  fleet.AddHost("back", "domain-1",
+                {{"back-1", "back",
+                  [](FakeTarget& target, const FakeServer::Exchange& exchange) {
+                    target.Hold(exchange);
+                  }}});
+  fleet.AddRoute("/look", "back");
+  fleet.Start();
+  RawPeer peer(fleet.at("back").daemon().peer());
+  peer.Handshake(kPeerKey, "stranger");
+  BOOST_REQUIRE(peer.WaitMessages(3));  // Hello, Proof, Digest
+  peer.Send(Encode(MakeCall()));
+  for (int i = 0; i < kMessages; ++i) {
+    peer.Send(Encode(Pong{}));
+    peer.RunFor(kGap);
+  }
+  const auto& messages = peer.messages();
+  const auto pings = std::count_if(
+      messages.begin(), messages.end(), [](const PeerMessage& message) {
+        return std::holds_alternative<Ping>(message);
+      });
+  BOOST_TEST(pings <= 1 + kMessages * kGap / kContactInterval + 1);
+  fleet.target("back-1").AnswerHeld("late");
+}
+
 // Guards against a message of another protocol version that is read as if it
 // were of this one.
 BOOST_AUTO_TEST_CASE(wrong_version_is_refused) {
--- a/tests/daemon/raw_peer.cpp
+++ b/tests/daemon/raw_peer.cpp
@@ -34,6 +34,11 @@
   return condition();
 }
 
+void RawPeer::RunFor(std::chrono::milliseconds time) {
+  io_.restart();
+  io_.run_for(time);
+}
+
 void RawPeer::Send(const std::string& frame) {
   transport_->Send(socket_, frame);
 }
--- a/tests/daemon/raw_peer.h
+++ b/tests/daemon/raw_peer.h
@@ -21,6 +21,7 @@
   /// Runs until the daemon has sent this many messages or closed. False if it
   /// closed.
   bool WaitMessages(std::size_t count);
+  void RunFor(std::chrono::milliseconds time);
   /// Runs until the daemon closes. False if it does not within the patience.
   bool WaitClosed();
 
