Pass the registry of targets on between peers

Cause: every daemon read and watched the registrations itself.

Change: Registry (core) holds the state as published with its recent changes. One reader in each domain watches the store; changes go to four peers at once and through digests, a host that is behind asks for them, and a new one gets the whole in pieces. A host that nobody has confirmed for 2.5 s reads the store itself, and the configuration too. Lapsed registrations get their grace at every host. The store client only reads; its decisions moved into the product.

Tests: registry (84 hosts, 9 domains: a removal is everywhere within 2 s at 20% loss, within 4 s with all readers cut off; few hosts read), store_client, peer_message.

--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -24,6 +24,10 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+/// Entries of one message about the registry. A larger change comes as the
+/// whole registry, in pieces.
+inline constexpr std::size_t kMaxRegistryEntries = 256;
+
 /// Shedding level of a service: requests that rank below it are refused.
 struct ServiceLevel {
   ServiceId service;
@@ -96,6 +100,10 @@
 struct Digest {
   Version version;
   Duration platform_age{};  ///< Since the last read of the platform known here.
+  /// State of the registry of targets; 0: not known here.
+  std::uint64_t registry_revision = 0;
+  /// Since that was last known to be the newest.
+  Duration registry_age = kMaxPeerDuration;
   std::vector<MemberUpdate> members;
 };
 
@@ -174,6 +182,36 @@
   std::vector<LoanAsk> asks;
 };
 
+/// One registration of a target, or its removal, as of `revision`.
+struct RegistryEntry {
+  std::string name;
+  std::uint64_t revision = 0;
+  bool removed = false;  ///< The fields below are empty.
+  std::string service;
+  std::string host;
+  std::string failure_domain;
+  std::string peer;
+  std::uint32_t slots = 0;
+  bool draining = false;
+  Duration warm_in{};
+  std::uint64_t started_ms = 0;
+};
+
+struct RegistryRequest {
+  std::uint64_t have = 0;
+};
+
+/// Changes of the registry between two revisions, or one piece of the whole of
+/// it if `from` is 0. Without changes it only confirms the revision.
+struct RegistryDelta {
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+  Duration age{};  ///< Since `to` was last known to be the newest revision.
+  std::uint32_t piece = 0;
+  std::uint32_t pieces = 1;
+  std::vector<RegistryEntry> entries;
+};
+
 struct Leave {
   HostId host;
   Incarnation incarnation;
@@ -190,7 +228,8 @@
 using PeerMessage =
     std::variant<Hello, Proof, Call, Reply, Cancel, CancelAck, Digest,
                  ConfigRequest, ConfigDelta, ConfigSnapshot, LoanRequest,
-                 LoanGrant, LoanReturn, Leave, Ping, Pong>;
+                 LoanGrant, LoanReturn, Leave, Ping, Pong, RegistryRequest,
+                 RegistryDelta>;
 
 /// CBOR bytes of a message. The caller keeps the fields within the limits that
 /// `Decode` checks; a message beyond them is refused by the receiver.
--- a/include/lentilcross/spread.h
+++ b/include/lentilcross/spread.h
@@ -76,9 +76,14 @@
   std::vector<Outgoing> Tick(Membership& membership, Instant now,
                              Random& random);
   /// What to ask of the platform now. Each call that it starts ends with one
-  /// of the `OnPlatform` functions.
+  /// of the `OnPlatform` functions. `stands_in`: a reader in any case.
   PlatformAction NextPlatformAction(const Membership& membership, Instant now,
-                                    Random& random);
+                                    Random& random, bool stands_in = false);
+  /// One of the few hosts of its failure domain that read the platform.
+  bool IsReader(const Membership& membership) const;
+  /// Hosts that get news at once; those tell others.
+  std::vector<HostId> PushPeers(const Membership& membership,
+                                Random& random) const;
 
   /// Hosts in place of those of the document, which lists none where targets
   /// register themselves.
--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -61,7 +61,14 @@
         spread(std::move(new_spread)),
         membership({HostId::FromName(init.host), incarnation}),
         random(init.random_seed ^ incarnation.value()),
-        platform(MakePlatform()) {}
+        platform(MakePlatform()),
+        registry(MakeRegistryInit()) {}
+
+  Registry::Init MakeRegistryInit() {
+    Registry::Init registry_init;
+    registry_init.place = std::uniform_real_distribution<double>(0, 1)(random);
+    return registry_init;
+  }
 
   std::unique_ptr<PlatformSource> MakePlatform() {
     if (init.make_platform_source) {
@@ -91,11 +98,13 @@
         if (leaving) OnHostLeaving(HostId::FromName(name));
       }
     };
-    hooks.on_fleet = [this](const Fleet& changed) {
-      fleet = changed;
-      fleet_is_new = true;
-      Publish("registry");
+    hooks.on_registry = [this](const Fleet& whole) {
+      OnRegistry(registry.OnSnapshot(whole, steady_clock::now()));
     };
+    hooks.on_registry_changes =
+        [this](std::uint64_t to, const std::vector<RegistryChange>& list) {
+          OnRegistry(registry.OnChanges(to, list, steady_clock::now()));
+        };
     hooks.on_event = [this](const std::string& event,
                             const std::string& detail) {
       Log(LogLevel::kInfo, event, {{"detail", detail}});
@@ -121,9 +130,18 @@
     }
   }
 
-  void SendAll(const std::vector<Spread::Outgoing>& messages) {
-    for (const auto& [to, message] : messages) {
-      Send(PeerEnvelope{to, message});
+  void SendAll(std::vector<Spread::Outgoing> messages) {
+    for (auto& [to, message] : messages) {
+      if (auto* digest = std::get_if<Digest>(&message)) {
+        registry.Complete(*digest, steady_clock::now());
+      }
+      Send(PeerEnvelope{to, std::move(message)});
+    }
+  }
+
+  void SendTo(HostId host, std::vector<PeerMessage> messages) {
+    for (PeerMessage& message : messages) {
+      Send(PeerEnvelope{host, std::move(message)});
     }
   }
 
@@ -157,11 +175,57 @@
     }
   }
 
+  // ----- Registry
+
+  /// Published with the next tick: changes come in groups, and each new fleet
+  /// costs a pass over routes, quotas and links.
+  void OnRegistry(bool changed) {
+    fleet_is_new = fleet_is_new || changed;
+    SendNews();
+  }
+
+  /// Tells some peers, at most once in a tick; they tell others.
+  void SendNews() {
+    const Instant now = steady_clock::now();
+    if (now - news_sent < kTick) return;
+    const auto news = registry.TakeNews(now);
+    if (!news) return;
+    news_sent = now;
+    for (const HostId host : spread.PushPeers(membership, random)) {
+      Send(PeerEnvelope{host, *news});
+    }
+  }
+
+  void TickRegistry(Instant now) {
+    if (!platform->has_registry()) return;
+    OnRegistry(registry.Tick(now));
+    SendNews();
+    if (registry.lost() != registry_lost) {
+      registry_lost = registry.lost();
+      Log(LogLevel::kWarn,
+          registry_lost ? "registry-lost" : "registry-regained",
+          {{"registry_revision", std::to_string(registry.revision())}});
+    }
+    platform->FollowRegistry(
+        registry.WantsToRead(spread.IsReader(membership), now),
+        registry.revision());
+  }
+
   void OnPeerMessage(const PeerEnvelope& envelope) {
     const Instant now = steady_clock::now();
     membership.OnHeard(envelope.host, now);
-    if (const auto* digest = std::get_if<Digest>(&envelope.message)) {
+    const PeerMessage& message = envelope.message;
+    if (const auto* request = std::get_if<RegistryRequest>(&message)) {
+      SendTo(envelope.host, registry.OnRequest(*request, now));
+      return;
+    }
+    if (const auto* delta = std::get_if<RegistryDelta>(&message)) {
+      OnRegistry(registry.OnDelta(*delta, now));
+      return;
+    }
+    if (const auto* digest = std::get_if<Digest>(&message)) {
       membership.OnUpdates(digest->members, now);
+      SendTo(envelope.host, registry.OnDigest(*digest, now));
     }
     SendAll(spread.OnMessage(envelope.host, envelope.message, now));
     Publish(NameOf(spread.current().get(), envelope.host));
@@ -193,20 +257,21 @@
   /// Without its targets a configuration would shift quotas and leave calls
   /// without a place to go, for the moment until the registry is read.
   bool AwaitsRegistry() const {
-    return platform->has_registry() && !fleet &&
+    return platform->has_registry() && !registry.known() &&
            steady_clock::now() - started < kLongestRegistryWait;
   }
 
   /// Adds the registered targets to the published configuration.
   std::shared_ptr<const Configuration> Compose(
       const std::shared_ptr<const Configuration>& published_part) {
-    if (!fleet) return published_part;
-    auto composed = WithFleet(*published_part, *fleet);
+    if (!registry.known()) return published_part;
+    const Fleet& fleet = registry.fleet();
+    auto composed = WithFleet(*published_part, fleet);
     spread.SetHosts(*composed);
     Log(LogLevel::kInfo, "configuration-fleet",
         {{"version", std::to_string(composed->version.value())},
-         {"registry_revision", std::to_string(fleet->revision)},
-         {"registered", std::to_string(fleet->targets.size())},
+         {"registry_revision", std::to_string(fleet.revision)},
+         {"registered", std::to_string(fleet.targets.size())},
          {"hosts", std::to_string(composed->hosts.size())}});
     return composed;
   }
@@ -243,7 +308,8 @@
     if (platform->reading()) return;
     const auto current = spread.current();
     const Version have = current ? current->version : Version();
-    switch (spread.NextPlatformAction(membership, now, random)) {
+    switch (spread.NextPlatformAction(membership, now, random,
+                                      registry.StandsIn(now))) {
       case Spread::PlatformAction::kNone:
         return;
       case Spread::PlatformAction::kWatch:
@@ -258,7 +324,7 @@
   void OnTick() {
     const Instant now = steady_clock::now();
     SendHeldBack();
-    platform->Tick();
+    TickRegistry(now);
     Publish("registry");
     SendAll(spread.Tick(membership, now, random));
     Step();
@@ -294,8 +360,10 @@
   Membership membership;
   Random random;
   std::unique_ptr<PlatformSource> platform;
-  std::optional<Fleet> fleet;  ///< Empty without a registry.
+  Registry registry;
+  bool registry_lost = false;
   bool fleet_is_new = false;
+  Instant news_sent{};
   Ring<ToData>* out = nullptr;
   std::deque<ToData> held_back;
   const Instant started = steady_clock::now();
--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -279,6 +279,12 @@
   void Handle(const PeerLinks::Peer& peer, ConfigSnapshot&& snapshot) {
     Tell(PeerEnvelope{peer.host, std::move(snapshot)});
   }
+  void Handle(const PeerLinks::Peer& peer, RegistryRequest&& request) {
+    Tell(PeerEnvelope{peer.host, request});
+  }
+  void Handle(const PeerLinks::Peer& peer, RegistryDelta&& delta) {
+    Tell(PeerEnvelope{peer.host, std::move(delta)});
+  }
   // Handled by the links themselves.
   void Handle(const PeerLinks::Peer& /*peer*/, Hello&& /*hello*/) {}
   void Handle(const PeerLinks::Peer& /*peer*/, Proof&& /*proof*/) {}
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -217,11 +217,24 @@
 
 // Names of the peer message kinds, in the order of `PeerMessage`.
 constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>>
-    kMessageKinds = {
-        "hello",        "proof",           "call",         "reply",
-        "cancel",       "cancel-ack",      "digest",       "config-request",
-        "config-delta", "config-snapshot", "loan-request", "loan-grant",
-        "loan-return",  "leave",           "ping",         "pong"};
+    kMessageKinds = {"hello",
+                     "proof",
+                     "call",
+                     "reply",
+                     "cancel",
+                     "cancel-ack",
+                     "digest",
+                     "config-request",
+                     "config-delta",
+                     "config-snapshot",
+                     "loan-request",
+                     "loan-grant",
+                     "loan-return",
+                     "leave",
+                     "ping",
+                     "pong",
+                     "registry-request",
+                     "registry-delta"};
 
 void WritePeerBytes(Writer& out, const PeerLinkStats& peers) {
   out.Head("peer_sent_bytes_total", "counter",
--- a/src/peer_message.cpp
+++ b/src/peer_message.cpp
@@ -215,6 +215,13 @@
     if (!part->version.valid()) return "snapshot without version";
     if (part->piece >= part->pieces) return "piece out of range";
   }
+  if (const auto* delta = std::get_if<RegistryDelta>(&message)) {
+    if (delta->to == 0 || delta->from > delta->to) {
+      return "registry delta goes back";
+    }
+    if (delta->piece >= delta->pieces) return "piece out of range";
+    if (delta->from > 0 && delta->pieces > 1) return "delta in pieces";
+  }
   if (const auto* reply = std::get_if<Reply>(&message)) {
     if (reply->status != 0 && reply->status < 100) return "status out of range";
   }
--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -12,6 +12,7 @@
 inline constexpr std::size_t kMaxHeaderSize = 65536;
 inline constexpr std::size_t kMaxDetailSize = 1024;
 inline constexpr std::size_t kMaxPieces = 4096;
+inline constexpr std::size_t kMaxNameSize = 256;
 inline constexpr std::size_t kMaxMessageSize =
     LENTILCROSS_CONFIG_MAX_PEER_MESSAGE;
 inline constexpr std::size_t kMaxListSize = LENTILCROSS_CONFIG_MAX_PEER_LIST;
@@ -166,6 +167,8 @@
   static void Visit(V& v, M& m) {
     v.VersionNumber(m.version);
     v.Time(m.platform_age);
+    v.Integer(m.registry_revision);
+    v.Time(m.registry_age);
     v.List(m.members, LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES);
   }
 };
@@ -283,6 +286,45 @@
   }
 };
 
+template <>
+struct Schema<RegistryEntry> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Text(m.name, kMaxNameSize);
+    v.Integer(m.revision);
+    v.Flag(m.removed);
+    v.Text(m.service, kMaxNameSize);
+    v.Text(m.host, kMaxNameSize);
+    v.Text(m.failure_domain, kMaxNameSize);
+    v.Text(m.peer, kMaxNameSize);
+    v.Integer(m.slots);
+    v.Flag(m.draining);
+    v.Time(m.warm_in);
+    v.Integer(m.started_ms);
+  }
+};
+
+template <>
+struct Schema<RegistryRequest> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Integer(m.have);
+  }
+};
+
+template <>
+struct Schema<RegistryDelta> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Integer(m.from);
+    v.Integer(m.to);
+    v.Time(m.age);
+    v.Integer(m.piece, kMaxPieces);
+    v.Integer(m.pieces, kMaxPieces);
+    v.List(m.entries, kMaxRegistryEntries);
+  }
+};
+
 template <>
 struct Schema<Ping> {
   template <typename V, typename M>
--- a/src/platform_source.h
+++ b/src/platform_source.h
@@ -8,7 +8,7 @@
 
 #include "daemon_stats.h"
 #include "endpoint.h"
-#include "lentilcross/fleet.h"
+#include "lentilcross/registry.h"
 #include "lentilcross/types.h"
 
 namespace lentilcross {
@@ -30,8 +30,11 @@
     std::function<void(Instant began)> on_unchanged;
     std::function<void(const std::string& cause)> on_failure;
     std::function<void(const std::vector<HostState>&)> on_hosts;
-    /// The registry changed.
-    std::function<void(const Fleet&)> on_fleet;
+    /// The whole registry, or what changed up to a revision; nothing if that
+    /// is only confirmed.
+    std::function<void(const Fleet&)> on_registry;
+    std::function<void(std::uint64_t to, const std::vector<RegistryChange>&)>
+        on_registry_changes;
     /// A dependency was lost or is back, or an entry cannot be read.
     std::function<void(const std::string& event, const std::string& detail)>
         on_event;
@@ -47,8 +50,9 @@
   virtual void ReadHosts() = 0;
   /// True if targets register themselves at the platform.
   virtual bool has_registry() const { return false; }
-  /// Called every 100 ms.
-  virtual void Tick() {}
+  /// Whether to read and watch the registry; `known` is the revision to go on
+  /// from, 0 for none. Called every 100 ms.
+  virtual void FollowRegistry(bool /*follow*/, std::uint64_t /*known*/) {}
 
   virtual const PlatformClientStats& stats() const = 0;
 };
--- /dev/null
+++ b/src/registry.cpp
@@ -0,0 +1,262 @@
+#include "lentilcross/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilcross {
+namespace {
+
+// Changes kept for peers that are behind. Those further behind get the whole.
+constexpr std::size_t kMaxHistory = 1024;
+// A request without an answer for so long may go to another peer.
+constexpr Duration kRequestTimeout = std::chrono::milliseconds(500);
+// A digest is answered if the answer is news by so much.
+constexpr Duration kFresherBy = std::chrono::milliseconds(500);
+// Hosts that lose patience come at 1,667 calls/s; the platform allows 2,000.
+constexpr double kSecondsPerHost = 600e-6;
+
+RegistryEntry ToEntry(const RegistryChange& change, Instant now) {
+  RegistryEntry entry;
+  entry.name = change.name;
+  entry.revision = change.revision;
+  entry.removed = !change.target;
+  if (entry.removed) return entry;
+  const RegisteredTarget& target = *change.target;
+  entry.service = target.service;
+  entry.host = target.host;
+  entry.failure_domain = target.failure_domain;
+  entry.peer = target.peer;
+  entry.slots = static_cast<std::uint32_t>(std::max(target.slots, 0));
+  entry.draining = target.draining;
+  entry.warm_in = std::max(target.warm_at - now, Duration::zero());
+  entry.started_ms =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(target.started_ms, 0));
+  return entry;
+}
+
+RegistryChange ToChange(const RegistryEntry& entry, Instant now) {
+  RegistryChange change{entry.name, entry.revision, std::nullopt};
+  if (entry.removed) return change;
+  RegisteredTarget target;
+  target.name = entry.name;
+  target.service = entry.service;
+  target.host = entry.host;
+  target.failure_domain = entry.failure_domain;
+  target.peer = entry.peer;
+  target.slots = static_cast<int>(entry.slots);
+  target.draining = entry.draining;
+  target.warm_at = now + entry.warm_in;
+  target.started_ms = static_cast<std::int64_t>(entry.started_ms);
+  change.target = std::move(target);
+  return change;
+}
+
+}  // namespace
+
+Duration Registry::Age(Instant now) const {
+  if (!confirmed_) return kMaxPeerDuration;
+  return std::clamp(now - *confirmed_, Duration::zero(), kMaxPeerDuration);
+}
+
+// Changes that come with a contact after an outage are judged after it, so that
+// what lapsed in the outage gets its grace.
+void Registry::Confirm(Instant at, Instant now) {
+  if (!confirmed_ || at > *confirmed_) confirmed_ = at;
+  if (Age(now) > init_.lost_after) return;
+  lost_ = false;
+  tracker_.OnContact(now);
+}
+
+bool Registry::ApplyWhole(const Fleet& whole, Instant now) {
+  if (known() && whole.revision < state_.revision) return false;
+  state_ = whole;
+  history_.clear();
+  history_from_ = whole.revision;
+  requested_.reset();
+  ++stats_.applied;
+  return tracker_.OnSnapshot(whole, now);
+}
+
+bool Registry::OnSnapshot(const Fleet& whole, Instant now) {
+  Confirm(now, now);
+  if (!ApplyWhole(whole, now)) return false;
+  has_news_ = true;
+  return true;
+}
+
+bool Registry::Apply(const RegistryChange& change, Instant now) {
+  if (change.revision <= state_.revision) return false;
+  history_.push_back(change);
+  while (history_.size() > kMaxHistory) {
+    history_from_ = history_.front().revision;
+    history_.pop_front();
+  }
+  ++stats_.applied;
+  if (change.target) {
+    state_.targets[change.name] = *change.target;
+    return tracker_.OnRegistered(*change.target, change.revision, now);
+  }
+  state_.targets.erase(change.name);
+  return tracker_.OnRemoved(change.name, change.revision, now);
+}
+
+bool Registry::OnChanges(std::uint64_t to,
+                         const std::vector<RegistryChange>& changes,
+                         Instant now) {
+  if (!known() || to < state_.revision) return false;
+  Confirm(now, now);
+  bool changed = false;
+  for (const RegistryChange& change : changes) changed |= Apply(change, now);
+  state_.revision = to;
+  has_news_ = has_news_ || changed;
+  return changed;
+}
+
+void Registry::Complete(Digest& digest, Instant now) const {
+  digest.registry_revision = state_.revision;
+  digest.registry_age = Age(now);
+}
+
+std::vector<PeerMessage> Registry::OnDigest(const Digest& digest, Instant now) {
+  if (digest.registry_revision == 0) return {};
+  if (digest.registry_revision > state_.revision) {
+    if (requested_ && now - *requested_ < kRequestTimeout) return {};
+    requested_ = now;
+    ++stats_.requests_sent;
+    return {RegistryRequest{state_.revision}};
+  }
+  if (digest.registry_revision < state_.revision) {
+    return ChangesSince(digest.registry_revision, now);
+  }
+  if (Age(now) + kFresherBy < digest.registry_age) {
+    RegistryDelta confirmation;
+    confirmation.from = confirmation.to = state_.revision;
+    confirmation.age = Age(now);
+    return {std::move(confirmation)};
+  }
+  Confirm(now - digest.registry_age, now);
+  return {};
+}
+
+std::vector<PeerMessage> Registry::OnRequest(const RegistryRequest& request,
+                                             Instant now) {
+  if (!known() || request.have >= state_.revision) return {};
+  return ChangesSince(request.have, now);
+}
+
+std::vector<PeerMessage> Registry::ChangesSince(std::uint64_t revision,
+                                                Instant now) {
+  if (revision < history_from_) {
+    ++stats_.snapshots_sent;
+    return Whole(now);
+  }
+  RegistryDelta delta;
+  delta.from = revision;
+  delta.to = state_.revision;
+  delta.age = Age(now);
+  for (const RegistryChange& change : history_) {
+    if (change.revision <= revision) continue;
+    if (delta.entries.size() == kMaxRegistryEntries) {
+      ++stats_.snapshots_sent;
+      return Whole(now);
+    }
+    delta.entries.push_back(ToEntry(change, now));
+  }
+  ++stats_.deltas_sent;
+  return {std::move(delta)};
+}
+
+std::vector<PeerMessage> Registry::Whole(Instant now) const {
+  const std::size_t count = state_.targets.size();
+  const std::size_t pieces = std::max<std::size_t>(
+      1, (count + kMaxRegistryEntries - 1) / kMaxRegistryEntries);
+  std::vector<PeerMessage> messages;
+  auto next = state_.targets.begin();
+  for (std::size_t piece = 0; piece < pieces; ++piece) {
+    RegistryDelta delta;
+    delta.to = state_.revision;
+    delta.age = Age(now);
+    delta.piece = static_cast<std::uint32_t>(piece);
+    delta.pieces = static_cast<std::uint32_t>(pieces);
+    while (next != state_.targets.end() &&
+           delta.entries.size() < kMaxRegistryEntries) {
+      const RegistryChange change{next->first, state_.revision, next->second};
+      delta.entries.push_back(ToEntry(change, now));
+      ++next;
+    }
+    messages.emplace_back(std::move(delta));
+  }
+  return messages;
+}
+
+bool Registry::OnDelta(const RegistryDelta& delta, Instant now) {
+  if (delta.to < state_.revision) return false;
+  if (delta.from > 0) {
+    if (delta.from > state_.revision) return false;  // asked for by a digest
+    requested_.reset();
+    Confirm(now - delta.age, now);
+    bool changed = false;
+    for (const RegistryEntry& entry : delta.entries) {
+      changed |= Apply(ToChange(entry, now), now);
+    }
+    state_.revision = delta.to;
+    has_news_ = has_news_ || changed;
+    return changed;
+  }
+  const bool follows = delta.piece > 0 && delta.to == partial_.to &&
+                       delta.pieces == partial_.pieces &&
+                       delta.piece == partial_.piece + 1;
+  if (delta.piece > 0 && !follows) return false;
+  if (delta.piece == 0) partial_.entries.clear();
+  partial_.to = delta.to;
+  partial_.piece = delta.piece;
+  partial_.pieces = delta.pieces;
+  partial_.entries.insert(partial_.entries.end(), delta.entries.begin(),
+                          delta.entries.end());
+  if (delta.piece + 1 < delta.pieces) return false;
+  Fleet whole;
+  whole.revision = delta.to;
+  for (const RegistryEntry& entry : std::exchange(partial_, {}).entries) {
+    RegistryChange change = ToChange(entry, now);
+    if (change.target) whole.targets[entry.name] = std::move(*change.target);
+  }
+  Confirm(now - delta.age, now);
+  return ApplyWhole(whole, now);
+}
+
+std::optional<RegistryDelta> Registry::TakeNews(Instant now) {
+  if (!has_news_) return std::nullopt;
+  has_news_ = false;
+  // A whole registry is asked for by those who see the digest.
+  const std::uint64_t since =
+      std::max(std::exchange(told_, state_.revision), history_from_);
+  if (since >= state_.revision) return std::nullopt;
+  auto messages = ChangesSince(since, now);
+  if (messages.size() != 1) return std::nullopt;
+  return std::get<RegistryDelta>(std::move(messages.front()));
+}
+
+bool Registry::Tick(Instant now) {
+  if (known() && !lost_ && Age(now) > init_.lost_after) {
+    lost_ = true;
+    tracker_.OnContactLost(now);
+  }
+  return tracker_.Tick(now);
+}
+
+bool Registry::WantsToRead(bool is_reader, Instant now) {
+  const auto turn =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          init_.place * kSecondsPerHost *
+          static_cast<double>(state_.targets.size())));
+  // Without any host there are no peers to hear it from.
+  if (state_.targets.empty()) return true;
+  if (Age(now) > init_.patience + turn) last_resort_ = now;
+  return is_reader || StandsIn(now);
+}
+
+bool Registry::StandsIn(Instant now) const {
+  return last_resort_ && now - *last_resort_ < init_.shortest_reading;
+}
+
+}  // namespace lentilcross
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -49,7 +49,12 @@
   OutgoingList OnMessage(HostId from, const PeerMessage& message, Instant now);
   OutgoingList Tick(Membership& membership, Instant now, Random& random);
   PlatformAction NextPlatformAction(const Membership& membership, Instant now,
-                                    Random& random);
+                                    Random& random, bool stands_in);
+  bool IsReader(const Membership& membership) const;
+  std::vector<HostId> PushPeers(const Membership& membership,
+                                Random& random) const {
+    return peers_.Pick(hosts(), membership, init_.push_fanout, random);
+  }
   bool IsReady(Instant now) const;
   bool IsStale(Instant now) const;
 
@@ -301,8 +306,7 @@
   ConfigDelta delta;
   const bool small = history_.MakeDelta(pushed_, kMaxPushedDelta, delta);
   pushed_ = history_.version();
-  for (const HostId host :
-       peers_.Pick(hosts(), membership, init_.push_fanout, random)) {
+  for (const HostId host : PushPeers(membership, random)) {
     if (small) {
       ++stats_.deltas_sent;
       out.push_back({host, delta});
@@ -313,13 +317,18 @@
   return out;
 }
 
+bool Spread::Impl::IsReader(const Membership& membership) const {
+  const HostTable* table = hosts();
+  return table != nullptr &&
+         peers_.IsReader(*table, history_.version(), membership,
+                         init_.readers_per_domain);
+}
+
 Spread::PlatformAction Spread::Impl::NextPlatformAction(
-    const Membership& membership, Instant now, Random& random) {
+    const Membership& membership, Instant now, Random& random, bool stands_in) {
   Start(now);
   const HostTable* table = hosts();
-  const bool reader =
-      table != nullptr && peers_.IsReader(*table, history_.version(),
-                                          membership, init_.readers_per_domain);
+  const bool reader = stands_in || IsReader(membership);
   const std::size_t count = table == nullptr ? 0 : table->hosts.size();
   const auto action = schedule_.Next(reader, count, now, random);
   if (action != PlatformAction::kNone) ++stats_.platform_reads;
@@ -426,8 +435,16 @@
   return impl_->Tick(membership, now, random);
 }
 Spread::PlatformAction Spread::NextPlatformAction(const Membership& membership,
-                                                  Instant now, Random& random) {
-  return impl_->NextPlatformAction(membership, now, random);
+                                                  Instant now, Random& random,
+                                                  bool stands_in) {
+  return impl_->NextPlatformAction(membership, now, random, stands_in);
+}
+bool Spread::IsReader(const Membership& membership) const {
+  return impl_->IsReader(membership);
+}
+std::vector<HostId> Spread::PushPeers(const Membership& membership,
+                                      Random& random) const {
+  return impl_->PushPeers(membership, random);
 }
 void Spread::SetHosts(const Configuration& configuration) {
   impl_->SetHosts(configuration);
--- a/tests/daemon/operator_test.cpp
+++ b/tests/daemon/operator_test.cpp
@@ -128,7 +128,9 @@
       {LoanReturn{}, "loan-return"},
       {Leave{}, "leave"},
       {Ping{}, "ping"},
-      {Pong{}, "pong"}};
+      {Pong{}, "pong"},
+      {RegistryRequest{}, "registry-request"},
+      {RegistryDelta{}, "registry-delta"}};
   BOOST_TEST(kinds.size() == stats.peers.bytes_sent.size());
   for (const auto& [message, name] : kinds) {
     stats.peers.bytes_sent[message.index()] = 100 + message.index();
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "lentilcross/configuration.h"
+#include "lentilcross/registry.h"
 #include "platform/documents.h"
 #include "platform/fake_store.h"
 
@@ -29,10 +30,13 @@
                                Instant) { documents.push_back(text); };
     hooks.on_unchanged = [this](Instant) { ++unchanged; };
     hooks.on_failure = [this](const std::string&) { ++failures; };
-    hooks.on_fleet = [this](const Fleet& changed) {
-      fleet = changed;
-      ++fleets;
+    hooks.on_registry = [this](const Fleet& whole) {
+      registry.OnSnapshot(whole, std::chrono::steady_clock::now());
     };
+    hooks.on_registry_changes =
+        [this](std::uint64_t to, const std::vector<RegistryChange>& changes) {
+          registry.OnChanges(to, changes, std::chrono::steady_clock::now());
+        };
     hooks.on_event = [this](const std::string& event, const std::string&) {
       events.push_back(event);
     };
@@ -44,7 +48,7 @@
     while (!fits() && std::chrono::steady_clock::now() < end) {
       io.restart();
       io.run_for(milliseconds(5));
-      client->Tick();
+      client->FollowRegistry(true, registry.revision());
     }
     return fits();
   }
@@ -53,7 +57,7 @@
     RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
   }
   bool Knows(const std::string& name) const {
-    return fleet.targets.count(name) != 0;
+    return registry.fleet().targets.count(name) != 0;
   }
   bool Saw(const std::string& event) const {
     return std::find(events.begin(), events.end(), event) != events.end();
@@ -69,8 +73,7 @@
   std::vector<std::string> events;
   int unchanged = 0;
   int failures = 0;
-  int fleets = 0;
-  Fleet fleet;
+  Registry registry{Registry::Init{}};
   std::unique_ptr<StoreClient> client;
 };
 
@@ -130,12 +133,13 @@
   for (const char* name : {"a", "b", "c", "d", "e"}) {
     setup.Register(name, "10.0.0." + std::to_string(1 + name[0] - 'a'));
   }
-  BOOST_TEST(setup.RunUntil([&] { return setup.fleet.targets.size() == 5; }));
+  BOOST_TEST(setup.RunUntil(
+      [&] { return setup.registry.fleet().targets.size() == 5; }));
   setup.Register("f", "10.0.0.6");
   BOOST_TEST(setup.RunUntil([&] { return setup.Knows("f"); }));
   setup.store.Delete("servers/a");
   BOOST_TEST(setup.RunUntil([&] { return !setup.Knows("a"); }));
-  BOOST_TEST(setup.fleet.targets.size() == 5U);
+  BOOST_TEST(setup.registry.fleet().targets.size() == 5U);
 }
 
 // Guards against a forged entry that names a target or costs the others
@@ -148,7 +152,7 @@
   setup.Register("b", "10.0.0.2");
   BOOST_TEST(setup.RunUntil([&] { return setup.Knows("b"); }));
   BOOST_TEST(setup.Knows("a"));
-  BOOST_TEST(setup.fleet.targets.size() == 2U);
+  BOOST_TEST(setup.registry.fleet().targets.size() == 2U);
   BOOST_TEST(setup.Saw("configuration-registration-unusable"));
 }
 
--- a/tests/random_message.h
+++ b/tests/random_message.h
@@ -97,6 +97,12 @@
     part->version = Version(part->version.value() / 2 + 1);
     part->pieces = part->piece + 1;
   }
+  if (auto* delta = std::get_if<RegistryDelta>(&message)) {
+    delta->to = delta->to / 2 + 1;
+    delta->from %= delta->to + 1;
+    delta->pieces = delta->from > 0 ? 1 : delta->piece + 1;
+    delta->piece = delta->pieces - 1;
+  }
   if (auto* reply = std::get_if<Reply>(&message)) {
     if (reply->status < 100) reply->status = 0;
   }
--- /dev/null
+++ b/tests/registry_test.cpp
@@ -0,0 +1,301 @@
+#include "lentilcross/registry.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <set>
+
+namespace lentilcross {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Instant kStart{std::chrono::hours(1)};
+
+RegisteredTarget MakeTarget(const std::string& name) {
+  RegisteredTarget target;
+  target.name = name;
+  target.service = "stock";
+  target.host = "host-" + name;
+  target.failure_domain = "mb-1";
+  target.peer = "127.0.0.1:7101";
+  target.slots = 8;
+  target.started_ms = 1700000000000;
+  return target;
+}
+
+Fleet MakeFleet(std::uint64_t revision, int count) {
+  Fleet fleet;
+  fleet.revision = revision;
+  for (int i = 0; i < count; ++i) {
+    const std::string name = "t" + std::to_string(i);
+    fleet.targets[name] = MakeTarget(name);
+  }
+  return fleet;
+}
+
+RegistryChange Removal(const std::string& name, std::uint64_t revision) {
+  return {name, revision, std::nullopt};
+}
+
+bool Knows(const Registry& registry, const std::string& name) {
+  return registry.fleet().targets.count(name) != 0;
+}
+
+/// Passes a digest of `from` to `to`, and every answer on.
+void Exchange(Registry& from, Registry& to, Instant now) {
+  Digest digest;
+  from.Complete(digest, now);
+  std::deque<std::pair<Registry*, PeerMessage>> messages;
+  messages.emplace_back(&to, digest);
+  while (!messages.empty()) {
+    const auto [receiver, message] = std::move(messages.front());
+    messages.pop_front();
+    Registry* other = receiver == &to ? &from : &to;
+    std::vector<PeerMessage> answers;
+    if (const auto* state = std::get_if<Digest>(&message)) {
+      answers = receiver->OnDigest(*state, now);
+    } else if (const auto* request = std::get_if<RegistryRequest>(&message)) {
+      answers = receiver->OnRequest(*request, now);
+    } else {
+      receiver->OnDelta(std::get<RegistryDelta>(message), now);
+    }
+    for (PeerMessage& answer : answers) {
+      messages.emplace_back(other, std::move(answer));
+    }
+  }
+}
+
+struct Pair {
+  Registry reader{Registry::Init{}};
+  Registry other{Registry::Init{}};
+  Instant now = kStart;
+};
+
+// Guards against a new host that knows no target while the platform turns it
+// away, and against a whole registry that is larger than a message.
+BOOST_FIXTURE_TEST_CASE(new_host_gets_the_whole_registry, Pair) {
+  reader.OnSnapshot(MakeFleet(50, 600), now);
+  Exchange(reader, other, now);
+  BOOST_TEST(other.revision() == 50U);
+  BOOST_TEST(other.fleet().targets.size() == 600U);
+  BOOST_TEST(other.fleet().targets.at("t7").slots == 8);
+  BOOST_TEST(other.fleet().targets.at("t7").started_ms == 1700000000000);
+}
+
+// Guards against a change that stays with the hosts that read the platform.
+BOOST_FIXTURE_TEST_CASE(host_that_is_behind_gets_the_changes, Pair) {
+  reader.OnSnapshot(MakeFleet(50, 3), now);
+  Exchange(reader, other, now);
+  RegisteredTarget draining = MakeTarget("t1");
+  draining.draining = true;
+  BOOST_TEST(
+      reader.OnChanges(53, {Removal("t0", 51), {"t1", 52, draining}}, now));
+  // Either side may begin.
+  Exchange(other, reader, now);
+  BOOST_TEST(other.revision() == 53U);
+  BOOST_TEST(!Knows(other, "t0"));
+  BOOST_TEST(other.fleet().targets.at("t1").draining);
+}
+
+// Guards against an old state that brings a removed target back.
+BOOST_FIXTURE_TEST_CASE(revisions_never_go_back, Pair) {
+  reader.OnSnapshot(MakeFleet(50, 3), now);
+  Exchange(reader, other, now);
+  reader.OnChanges(51, {Removal("t0", 51)}, now);
+  const auto news = reader.TakeNews(now);
+  BOOST_REQUIRE(news);
+  BOOST_TEST(other.OnDelta(*news, now));
+  BOOST_TEST(!other.OnSnapshot(MakeFleet(50, 3), now));
+  BOOST_TEST(!other.OnDelta(*news, now));
+  BOOST_TEST(!Knows(other, "t0"));
+}
+
+// Guards against targets that are dropped because their registrations lapsed in
+// an outage, at a host that learns of its end from a peer.
+BOOST_FIXTURE_TEST_CASE(lapsed_targets_get_their_grace_everywhere, Pair) {
+  reader.OnSnapshot(MakeFleet(50, 2), now);
+  Exchange(reader, other, now);
+  now += seconds(5);
+  reader.Tick(now);
+  other.Tick(now);
+  BOOST_TEST(other.lost());
+  reader.OnChanges(52, {Removal("t0", 51), Removal("t1", 52)}, now);
+  Exchange(reader, other, now);
+  BOOST_TEST(!other.lost());
+  BOOST_TEST(Knows(other, "t0"));
+  reader.OnChanges(53, {{"t0", 53, MakeTarget("t0")}}, now);
+  Exchange(reader, other, now);
+  now += FleetTracker::Init{}.lapse_grace;
+  BOOST_TEST(other.Tick(now));
+  BOOST_TEST(Knows(other, "t0"));
+  BOOST_TEST(!Knows(other, "t1"));
+}
+
+/// Hosts of several domains with one reader each; messages take a tick, and
+/// some are lost.
+class Hosts {
+ public:
+  Hosts(int count, int domains, double loss, std::uint64_t seed)
+      : domains_(domains), loss_(loss), random_(seed) {
+    for (int i = 0; i < count; ++i) {
+      Registry::Init init;
+      init.place = static_cast<double>(i) / count;
+      registries_.emplace_back(init);
+    }
+  }
+
+  void Run(Duration duration) {
+    const Instant end = now_ + duration;
+    while (now_ < end) Tick();
+  }
+  /// The platform loses a target; readers hear of it at once.
+  void Remove(const std::string& name) {
+    whole_.targets.erase(name);
+    whole_.revision += 1;
+    changes_.push_back(Removal(name, whole_.revision));
+  }
+  void CutReaders() { readers_cut_ = true; }
+  int Unaware(const std::string& name) const {
+    return static_cast<int>(
+        std::count_if(registries_.begin(), registries_.end(),
+                      [&](const Registry& r) { return Knows(r, name); }));
+  }
+  /// Hosts that read the platform now.
+  int Reading() const { return reading_; }
+
+ private:
+  static constexpr Duration kTick = milliseconds(100);
+
+  bool IsReader(std::size_t host) const {
+    return host < static_cast<std::size_t>(domains_);
+  }
+  void Tick() {
+    now_ += kTick;
+    ++ticks_;
+    const auto arriving = std::exchange(on_the_way_, {});
+    for (const auto& [from, to, message] : arriving) Arrive(from, to, message);
+    reading_ = 0;
+    for (std::size_t i = 0; i < registries_.size(); ++i) {
+      Registry& registry = registries_[i];
+      registry.Tick(now_);
+      if (registry.WantsToRead(IsReader(i), now_)) {
+        ++reading_;
+        Read(i);
+      }
+      if (const auto news = registry.TakeNews(now_)) Push(i, *news, 4);
+      if ((ticks_ + i) % 5 != 0) continue;
+      Digest digest;
+      registry.Complete(digest, now_);
+      Push(i, digest, 2);
+    }
+  }
+  void Read(std::size_t host) {
+    if (readers_cut_ && IsReader(host)) return;
+    Registry& registry = registries_[host];
+    if (!registry.known()) {
+      registry.OnSnapshot(whole_, now_);
+      return;
+    }
+    std::vector<RegistryChange> since;
+    for (const RegistryChange& change : changes_) {
+      if (change.revision > registry.revision()) since.push_back(change);
+    }
+    // A watch confirms the state once a second.
+    if (!since.empty() || ticks_ % 10 == 0) {
+      registry.OnChanges(whole_.revision, since, now_);
+    }
+  }
+  void Push(std::size_t from, const PeerMessage& message, int fanout) {
+    for (int i = 0; i < fanout; ++i) {
+      Send(from, random_() % registries_.size(), message);
+    }
+  }
+  void Send(std::size_t from, std::size_t to, const PeerMessage& message) {
+    std::uniform_real_distribution<double> uniform(0, 1);
+    if (uniform(random_) < loss_) return;
+    on_the_way_.push_back({from, to, message});
+  }
+  void Arrive(std::size_t from, std::size_t to, const PeerMessage& message) {
+    Registry& registry = registries_[to];
+    std::vector<PeerMessage> answers;
+    if (const auto* digest = std::get_if<Digest>(&message)) {
+      answers = registry.OnDigest(*digest, now_);
+    } else if (const auto* request = std::get_if<RegistryRequest>(&message)) {
+      answers = registry.OnRequest(*request, now_);
+    } else {
+      registry.OnDelta(std::get<RegistryDelta>(message), now_);
+    }
+    for (const PeerMessage& answer : answers) Send(to, from, answer);
+  }
+
+  struct Travelling {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    PeerMessage message;
+  };
+  int domains_;
+  double loss_;
+  Random random_;
+  Instant now_ = kStart;
+  std::size_t ticks_ = 0;
+  int reading_ = 0;
+  bool readers_cut_ = false;
+  Fleet whole_ = MakeFleet(50, 84);
+  std::vector<RegistryChange> changes_;
+  std::vector<Registry> registries_;
+  std::vector<Travelling> on_the_way_;
+};
+
+/// A target that leaves gets no more work after this.
+constexpr Duration kDrain = seconds(2);
+/// A change is everywhere after this, also when readers are gone.
+constexpr Duration kEverywhere = seconds(4);
+constexpr int kSeeds = 20;
+
+// Guards against hosts that go on sending to a target that left because they do
+// not read the platform themselves.
+BOOST_AUTO_TEST_CASE(removal_reaches_all_hosts_in_time) {
+  for (const double loss : {0.0, 0.2}) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Hosts hosts(84, 9, loss, seed);
+      hosts.Run(seconds(10));
+      hosts.Remove("t3");
+      hosts.Run(kDrain);
+      BOOST_TEST(hosts.Unaware("t3") == 0);
+    }
+  }
+}
+
+// Guards against a watch of every host. The platform serves 2,000 calls/s, the
+// watches of a fifth of 10,000 hosts.
+BOOST_AUTO_TEST_CASE(few_hosts_read_on_a_calm_day) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Hosts hosts(84, 9, 0.02, seed);
+    hosts.Run(seconds(5));
+    int most = 0;
+    for (int i = 0; i < 100; ++i) {
+      hosts.Run(milliseconds(100));
+      most = std::max(most, hosts.Reading());
+    }
+    BOOST_TEST(most <= 84 / 5);
+  }
+}
+
+// Guards against a registry that stands still when the platform turns away all
+// hosts that read it.
+BOOST_AUTO_TEST_CASE(others_stand_in_for_the_readers) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Hosts hosts(84, 9, 0.02, seed);
+    hosts.Run(seconds(5));
+    hosts.CutReaders();
+    hosts.Run(Registry::Init{}.patience + milliseconds(500));
+    hosts.Remove("t3");
+    hosts.Run(kEverywhere);
+    BOOST_TEST(hosts.Unaware("t3") == 0);
+  }
+}
+
+}  // namespace
+}  // namespace lentilcross
