--- a/src/peer_links.h
+++ b/src/peer_links.h
@@ -26,12 +26,12 @@
     /// Silence after which a link is pinged, with and without requests
     /// outstanding.
     Duration heartbeat_busy = std::chrono::milliseconds(100);
-    Duration heartbeat_idle = std::chrono::seconds(1);
+    Duration heartbeat_idle = std::chrono::seconds(2);
     /// Longest time between two pings of links whose answers count as contact:
     /// those within the own failure domain, and those that are busy.
     Duration contact_interval = std::chrono::seconds(1);
     Duration dead_busy = std::chrono::milliseconds(300);
-    Duration dead_idle = std::chrono::seconds(3);
+    Duration dead_idle = std::chrono::seconds(5);
     Duration handshake = std::chrono::seconds(1);
     Duration backoff_min = std::chrono::milliseconds(50);
     Duration backoff_max = std::chrono::seconds(2);
