--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -130,7 +130,7 @@
     }
   }
 
-  void SendAll(std::vector<Spread::Outgoing> messages) {
+  void SendAll(std::vector<Spread::Outgoing>&& messages) {
     for (auto& [to, message] : messages) {
       if (auto* digest = std::get_if<Digest>(&message)) {
         registry.Complete(*digest, steady_clock::now());
