Advise callers over their rate by the refill of the whole organisation

Cause: a caller refused with 429 was told to wait until the tokens held at this one host refill. Any host can borrow what the organisation generates.

Change: the advice is the time in which the whole organisation generates the tokens that callers at this host wait for, at least 50 ms, and the jitter as before.

--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -9,9 +9,6 @@
 constexpr Duration kSweepInterval = std::chrono::milliseconds(20);
 constexpr Duration kShortestRetry = std::chrono::milliseconds(1);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(50);
-// Part of an organisation's rate that a host can count on getting. It keeps the
-// advice to callers in proportion where the host holds nothing just now.
-constexpr double kLeastRefillShare = 0.02;
 constexpr Duration kMostRetryAfter = std::chrono::seconds(5);
 
 Duration Seconds(double seconds) {
@@ -122,9 +119,9 @@
   }
   if (waited > Duration::zero()) org.waiting = std::max(0, org.waiting - 1);
   ++stats.refused;
-  const double rate =
-      std::max(org.account.held().rate, kLeastRefillShare * org.total.rate);
-  const Duration after = Seconds((1 + org.waiting) / rate);
+  // Hosts borrow from each other, so that a caller who comes back finds what
+  // the whole organisation generated meanwhile.
+  const Duration after = Seconds((1 + org.waiting) / org.total.rate);
   return {Verdict::kRefused,
           {},
           std::clamp(after, kLeastRetryAfter, kMostRetryAfter)};
--- a/tests/rate_book_test.cpp
+++ b/tests/rate_book_test.cpp
@@ -237,6 +237,31 @@
   }
 }
 
+// Load pattern: an organisation sends twice its rate, spread over all hosts, so
+// that each holds a small part of its quota. Guards against callers who are
+// told to come back later than their answer is of use, although any host can
+// borrow what the organisation generates meanwhile.
+BOOST_AUTO_TEST_CASE(advice_follows_the_rate_of_the_whole_organisation) {
+  constexpr Duration kTargetLatency = milliseconds(600);
+  RateFleet::Options options;
+  options.organisations = {{20, 10}};
+  RateFleet fleet(options);
+  fleet.RunUntil(fleet.now() + seconds(11));
+  int refused = 0;
+  for (int i = 0; i < 400; ++i) {
+    const int host = i % fleet.hosts();
+    fleet.Arrive(host, 0);
+    fleet.RunUntil(fleet.now() + milliseconds(25));
+    // A request that has waited in vain.
+    const auto charge = fleet.book(host)->TryCharge(
+        fleet.organisation(0), milliseconds(100), fleet.now());
+    if (charge.verdict != RateBook::Verdict::kRefused) continue;
+    ++refused;
+    BOOST_TEST((charge.retry_after < kTargetLatency / 2));
+  }
+  BOOST_TEST(refused > 100);
+}
+
 // Guards against control traffic for organisations without requests.
 BOOST_AUTO_TEST_CASE(idle_organisation_sends_nothing) {
   RateFleet fleet({});
