Let lapsed hosts hear from peers, so that their quotas stay in force

Cause: own quotas are in force only while the host is in contact, and contact is a digest of a peer.

Change: lapsed hosts are peers like others; only the choice of readers leaves them out.

--- a/include/lentilcross/configuration.h
+++ b/include/lentilcross/configuration.h
@@ -28,7 +28,7 @@
   FailureDomainId failure_domain;
   std::string peer;  ///< "ip:port" of the daemon's peer listener.
   /// The registration of its target lapsed. The daemon may run on: it keeps its
-  /// part in quotas, but is not chosen to read or to pass on state.
+  /// part in quotas and hears from peers, but does not read for others.
   bool lapsed = false;
 };
 
--- a/src/peer_choice.cpp
+++ b/src/peer_choice.cpp
@@ -57,8 +57,8 @@
 
 bool PeerChoice::IsReader(const HostTable& table, Version version_number,
                           const Membership& membership, int readers) const {
-  const auto own = table.hosts_by_domain.find(failure_domain);
-  if (own == table.hosts_by_domain.end()) return false;
+  const auto own = table.readers_by_domain.find(failure_domain);
+  if (own == table.readers_by_domain.end()) return false;
   if (!Contains(own->second, self)) return false;
   const std::uint64_t version = version_number.value();
   const std::uint64_t own_score = CombineHash(self.value(), version);
--- a/src/published_document.cpp
+++ b/src/published_document.cpp
@@ -57,14 +57,15 @@
 
 HostTable HostTable::Of(const Configuration& configuration) {
   HostTable table;
-  for (const auto& [id, host] : configuration.hosts) {
-    if (!host.lapsed) table.hosts.push_back(id);
-  }
+  for (const auto& [id, host] : configuration.hosts) table.hosts.push_back(id);
   // Hash tables differ in order between builds; peer choice must not.
   std::sort(table.hosts.begin(), table.hosts.end());
   for (const HostId id : table.hosts) {
-    const FailureDomainId domain = configuration.hosts.at(id).failure_domain;
-    table.hosts_by_domain[domain].push_back(id);
+    const HostEntry& host = configuration.hosts.at(id);
+    table.hosts_by_domain[host.failure_domain].push_back(id);
+    if (!host.lapsed) {
+      table.readers_by_domain[host.failure_domain].push_back(id);
+    }
   }
   return table;
 }
--- a/src/published_document.h
+++ b/src/published_document.h
@@ -19,6 +19,8 @@
 struct HostTable {
   std::vector<HostId> hosts;
   std::unordered_map<FailureDomainId, std::vector<HostId>> hosts_by_domain;
+  /// Hosts that may read the platform for others: all that have not lapsed.
+  std::unordered_map<FailureDomainId, std::vector<HostId>> readers_by_domain;
 
   static HostTable Of(const Configuration& configuration);
 };
