--- a/tests/daemon/silent_link_test.cpp
+++ b/tests/daemon/silent_link_test.cpp
@@ -118,18 +118,25 @@
   }
   fleet.SetOwnersPerDomain(1);
   fleet.Start();
+  std::string refusal;  // the last one, to tell why a round failed
   const auto call_all = [&] {
     bool all = true;
     for (const std::string& key : keys) {
+      const auto began = steady_clock::now();
       const auto result = fleet.Call("entry", "/near", {{"X-Api-Key", key}});
-      all = result.response.status == 200 && all;
+      if (result.response.status == 200) continue;
+      all = false;
+      const std::chrono::duration<double> took = steady_clock::now() - began;
+      refusal = key + ": status " + std::to_string(result.response.status) +
+                " after " + std::to_string(took.count()) + " s, " +
+                result.response.body;
     }
     return all;
   };
   const auto patience = steady_clock::now() + std::chrono::seconds(15);
   while (!call_all() && steady_clock::now() < patience) {
   }
-  BOOST_REQUIRE(call_all());
+  BOOST_REQUIRE_MESSAGE(call_all(), refusal);
   const auto is_silent = [&fleet] {
     return fleet.at("entry").stats().peers.silent > 0;
   };
