--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -80,6 +80,8 @@
   /// after `start_wait`.
   void SetTarget(Quota target, Instant now, Duration handover,
                  Duration start_wait);
+  /// True until the first `SetTarget`.
+  bool has_no_target() const { return steps_.empty(); }
   Quota target() const {
     return steps_.empty() ? Quota{} : steps_.back().quota;
   }
--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -48,6 +48,10 @@
     org.is_owner = std::find(org.owners_here.begin(), org.owners_here.end(),
                              init.self) != org.owners_here.end();
   }
+  // The first share of a host counts after the wait of a start, not after a
+  // handover. That is the share once it is listed: registrations come late.
+  const bool is_listed = owners.DomainOf(init.self).valid();
+  if (org.account.has_no_target() && !is_listed) return;
   const double share =
       org.is_owner ? owners.ShareOfOwner(init.failure_domain) : 0;
   org.account.SetTarget({org.total.rate * share, org.total.burst * share}, now,
--- a/tests/rate_start_test.cpp
+++ b/tests/rate_start_test.cpp
@@ -66,6 +66,32 @@
   BOOST_TEST(AdmittedAfterStart(std::nullopt, seconds(5)) > 0);
 }
 
+// Load pattern: callers come while the first hosts register. Guards against a
+// host that waits for a handover because it knew the configuration before its
+// own registration (platform_path under AddressSanitizer).
+BOOST_AUTO_TEST_CASE(own_quota_counts_at_once_when_the_host_is_listed_late) {
+  RateBook::Init init;
+  init.self = HostId::FromName("a");
+  init.failure_domain = FailureDomainId::FromName("mb-1");
+  init.incarnation = Incarnation(1);
+  init.loan_term = seconds(1);
+  init.handover = seconds(4);
+  init.start_wait = Duration::zero();
+  auto book = Capture<RateBook>([&] { return RateBook::Create(init); });
+  BOOST_REQUIRE(book.value);
+  const auto listed = Capture<std::shared_ptr<const Configuration>>(
+      [] { return Configuration::Parse(kDocument); });
+  BOOST_REQUIRE(listed.value);
+  auto unlisted = std::make_shared<Configuration>(**listed.value);
+  unlisted->hosts.clear();
+  book.value->RecordContact(kStart, kStart);
+  book.value->Apply(unlisted, kStart);
+  book.value->Apply(*listed.value, kStart + milliseconds(300));
+  const Instant later = kStart + milliseconds(1300);
+  BOOST_TEST(book.value->held(kCoopers, later).rate == 100);
+  BOOST_TEST(book.value->tokens(kCoopers, later) > 90);
+}
+
 BOOST_AUTO_TEST_CASE(start_wait_is_at_most_the_handover) {
   RateBook::Init init;
   init.self = HostId::FromName("a");
