Log failed reads of the configuration with their duration and pause

The log could not tell a watch that stayed on a silent connection from a long pause after a failed call: a failure was logged at the level debug, without the time that the call had taken. A failed call now tells it, the pause until the next one and the age of the last confirmation; configuration-applied tells that age, too.

--- a/include/lentilcross/spread.h
+++ b/include/lentilcross/spread.h
@@ -94,6 +94,11 @@
   bool IsReady(Instant now) const;
   /// Neither the platform nor another failure domain heard for too long.
   bool IsStale(Instant now) const;
+  /// Time since the platform confirmed the current version, to this host or to
+  /// a peer.
+  Duration PlatformAge(Instant now) const;
+  /// Time until a reader may call the platform again.
+  Duration PlatformPause(Instant now) const;
   /// Null before the first version.
   std::shared_ptr<const Configuration> current() const;
   /// Findings of the last invalid document; empty once a newer one is valid.
--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -22,6 +22,11 @@
 /// Messages kept while the ring to the thread `data` is full.
 constexpr std::size_t kMaxHeldBack = 4096;
 
+std::string Milliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 std::string NameOf(const Configuration* configuration, HostId host) {
   if (configuration != nullptr) {
     const auto it = configuration->hosts.find(host);
@@ -89,9 +94,7 @@
       OnPlatformContact(began);
     };
     hooks.on_failure = [this](const std::string& cause) {
-      spread.OnPlatformFailure(steady_clock::now());
-      Log(LogLevel::kDebug, "platform-failure", {{"cause", cause}});
-      Step();
+      OnPlatformFailure(cause);
     };
     hooks.on_hosts = [this](const std::vector<PlatformSource::HostState>& all) {
       for (const auto& [name, leaving] : all) {
@@ -155,6 +158,19 @@
     OnPlatformContact(began);
   }
 
+  void OnPlatformFailure(const std::string& cause) {
+    const Instant now = steady_clock::now();
+    const Duration age = spread.PlatformAge(now);
+    spread.OnPlatformFailure(now);
+    Log(LogLevel::kInfo, "platform-failure",
+        {{"cause", cause},
+         {"version", std::to_string(published.value())},
+         {"took_ms", Milliseconds(now - call_began)},
+         {"confirmed_ms", Milliseconds(age)},
+         {"pause_ms", Milliseconds(spread.PlatformPause(now))}});
+    Step();
+  }
+
   void OnPlatformContact(Instant began) {
     Send(PlatformContact{began});
     platform->ReadHosts();
@@ -294,7 +310,9 @@
     Log(LogLevel::kInfo, "configuration-applied",
         {{"version", std::to_string(current->version.value())},
          {"preset", current->preset.name},
-         {"source", source}});
+         {"source", source},
+         {"confirmed_ms",
+          Milliseconds(spread.PlatformAge(steady_clock::now()))}});
     if (init.on_audit) init.on_audit(MakeRecord(*current, source));
     SendAll(spread.Tick(membership, steady_clock::now(), random));
   }
@@ -311,6 +329,7 @@
       Send(readiness);
     }
     if (platform->reading()) return;
+    call_began = now;
     const auto current = spread.current();
     const Version have = current ? current->version : Version();
     switch (spread.NextPlatformAction(membership, now, random,
@@ -373,6 +392,7 @@
   std::deque<ToData> held_back;
   const Instant started = steady_clock::now();
   Version published;
+  Instant call_began{};  ///< Of the last call for the configuration.
   Readiness readiness;
   Instant next_stats{};
 };
--- a/src/platform_schedule.cpp
+++ b/src/platform_schedule.cpp
@@ -75,6 +75,10 @@
   return std::clamp(now - *confirmed_, Duration::zero(), kMaxPeerDuration);
 }
 
+Duration PlatformSchedule::Pause(Instant now) const {
+  return std::max(Duration::zero(), watch_not_before_ - now);
+}
+
 void PlatformSchedule::Start(Instant now, Random& random) {
   started_ = now;
   fraction_ = std::uniform_real_distribution<double>(0, 1)(random);
--- a/src/platform_schedule.h
+++ b/src/platform_schedule.h
@@ -36,6 +36,8 @@
 
   /// Time since the version was confirmed.
   Duration Age(Instant now) const;
+  /// Time until a reader may call again.
+  Duration Pause(Instant now) const;
 
  private:
   void Start(Instant now, Random& random);
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -63,6 +63,7 @@
   }
 
   const DocumentHistory& history() const { return history_; }
+  const PlatformSchedule& schedule() const { return schedule_; }
   const Findings& findings() const { return findings_; }
   const Stats& stats() const { return stats_; }
 
@@ -451,6 +452,12 @@
 }
 bool Spread::IsReady(Instant now) const { return impl_->IsReady(now); }
 bool Spread::IsStale(Instant now) const { return impl_->IsStale(now); }
+Duration Spread::PlatformAge(Instant now) const {
+  return impl_->schedule().Age(now);
+}
+Duration Spread::PlatformPause(Instant now) const {
+  return impl_->schedule().Pause(now);
+}
 std::shared_ptr<const Configuration> Spread::current() const {
   const DocumentPointer& document = impl_->history().current();
   return document ? document->configuration : nullptr;
