Reproduce a configuration that comes into force late

Two daemons beside a store whose watches of the configuration go silent, while new connections work: a withdrawn key works for longer than the 3 s in which the contract excuses it, because the watch is given up 6.5 s after it began. The same after a store that was away.

--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -99,6 +99,19 @@
   });
 }
 
+void FakeStore::SilenceWatches(const std::string& prefix) {
+  Run([this, prefix] {
+    for (Waiting& waiting : std::exchange(waiting_, {})) {
+      if (waiting.prefix != prefix) {
+        waiting_.push_back(std::move(waiting));
+        continue;
+      }
+      waiting.timer->cancel();
+      silent_.push_back(std::move(waiting.exchange));
+    }
+  });
+}
+
 std::size_t FakeStore::calls() const { return calls_; }
 
 Json FakeStore::EventsAfter(const std::string& prefix,
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -35,6 +35,9 @@
   void SetPage(std::size_t items);
   /// Cuts the watches that wait.
   void CutWatches();
+  /// Nothing is answered on the connections of the watches of `prefix` that
+  /// wait, as if something between the two ends had lost track of them.
+  void SilenceWatches(const std::string& prefix);
   std::size_t calls() const;
 
  private:
