--- a/src/platform_schedule.cpp
+++ b/src/platform_schedule.cpp
@@ -14,9 +14,13 @@
 constexpr Duration kWindowPerHost = std::chrono::microseconds(600);
 // A call without any outcome for so long (a lost connection) counts as failed.
 constexpr Duration kCallTimeout = std::chrono::seconds(5);
-// Two watches of one host, also when the platform answers them at once.
-constexpr Duration kMinWatchInterval = std::chrono::seconds(1);
-constexpr Duration kMaxWatchBackoff = std::chrono::seconds(5);
+// From one watch of a host to the next, also when the platform answers at once.
+constexpr Duration kMinWatchInterval = std::chrono::milliseconds(250);
+// Pauses after failed calls of a reader. A domain hears nothing new from its
+// reader during a pause, so it stays well below the time in which a version has
+// to be in force.
+constexpr Duration kMinWatchBackoff = std::chrono::milliseconds(100);
+constexpr Duration kMaxWatchBackoff = std::chrono::milliseconds(500);
 constexpr Duration kMaxReadBackoff = std::chrono::seconds(60);
 constexpr int kMaxDoublings = 6;
 
@@ -41,7 +45,9 @@
   if (answer == Answer::kFailed || answer == Answer::kUseless) return Fail(now);
   confirmed_ = now;
   failures_ = 0;
-  if (ended == Action::kWatch) watch_not_before_ = began + kMinWatchInterval;
+  if (ended == Action::kWatch) {
+    watch_not_before_ = began + std::max(kMinWatchInterval, stand_in_window_);
+  }
   read_not_before_ = now;
 }
 
@@ -51,7 +57,7 @@
   failures_ = 0;
 }
 
-Action PlatformSchedule::Next(bool is_reader, std::size_t hosts, Instant now,
+Action PlatformSchedule::Next(Role role, std::size_t hosts, Instant now,
                               Random& random) {
   if (!started_) Start(now, random);
   if (!hosts_known_ && hosts > 0) hosts_known_ = now;
@@ -62,7 +68,10 @@
     OnAnswer(Answer::kFailed, now);
   }
   window_ = Window(hosts);
-  if (is_reader) {
+  stand_in_window_ = role == Role::kStandIn
+                         ? kWindowPerHost * static_cast<std::int64_t>(hosts)
+                         : Duration::zero();
+  if (role != Role::kOther) {
     if (now < watch_not_before_) return Action::kNone;
     return Call(Action::kWatch, now, random);
   }
@@ -114,8 +123,9 @@
 /// Twice the window, so that second reads begin after the last first read.
 void PlatformSchedule::Fail(Instant now) {
   ++failures_;
-  watch_not_before_ = now + Backoff(kMinWatchInterval, kMaxWatchBackoff,
-                                    failures_, backoff_factor_);
+  const Duration longest = std::max(kMaxWatchBackoff, stand_in_window_);
+  watch_not_before_ =
+      now + Backoff(kMinWatchBackoff, longest, failures_, backoff_factor_);
   read_not_before_ =
       now + Backoff(2 * window_, kMaxReadBackoff, failures_, backoff_factor_);
 }
--- a/src/platform_schedule.h
+++ b/src/platform_schedule.h
@@ -25,13 +25,19 @@
     kFailed,
   };
 
+  enum class Role : std::uint8_t {
+    kReader,   ///< One of the few that watch for their failure domain.
+    kStandIn,  ///< Watches because nobody else could lately, as others may.
+    kOther,
+  };
+
   explicit PlatformSchedule(const Init& init) : init_(init) {}
 
   void OnAnswer(Answer answer, Instant now);
   /// A peer holds the same version and knows it to be confirmed at `at`.
   void OnConfirmedByPeer(Instant at);
   /// `hosts` is 0 before the first configuration.
-  Spread::PlatformAction Next(bool is_reader, std::size_t hosts, Instant now,
+  Spread::PlatformAction Next(Role role, std::size_t hosts, Instant now,
                               Random& random);
 
   /// Time since the version was confirmed.
@@ -57,9 +63,10 @@
   Instant read_not_before_{};
   bool answered_ = false;
   int failures_ = 0;
-  Duration window_{};          ///< At the last call.
-  double fraction_ = 0;        ///< Own place in the window, 0 to 1.
-  double backoff_factor_ = 1;  ///< Drawn for each call, 0.5 to 1.5.
+  Duration window_{};           ///< At the last call.
+  Duration stand_in_window_{};  ///< Shared by all hosts that may stand in.
+  double fraction_ = 0;         ///< Own place in the window, 0 to 1.
+  double backoff_factor_ = 1;   ///< Drawn for each call, 0.5 to 1.5.
 };
 
 }  // namespace lentilcross
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -329,9 +329,11 @@
     const Membership& membership, Instant now, Random& random, bool stands_in) {
   Start(now);
   const HostTable* table = hosts();
-  const bool reader = stands_in || IsReader(membership);
+  PlatformSchedule::Role role = PlatformSchedule::Role::kOther;
+  if (stands_in) role = PlatformSchedule::Role::kStandIn;
+  if (IsReader(membership)) role = PlatformSchedule::Role::kReader;
   const std::size_t count = table == nullptr ? 0 : table->hosts.size();
-  const auto action = schedule_.Next(reader, count, now, random);
+  const auto action = schedule_.Next(role, count, now, random);
   if (action != PlatformAction::kNone) ++stats_.platform_reads;
   return action;
 }
