Take a refusal of a target only for the request that it names

Reported by operators of other systems: a faulty target writes an earlier refusal once more on a kept connection, and callers are told 'not run' for requests that ran or run.

Here a refusal with the name of another request was skipped before. Two ways were open: a refusal without a name was taken for the request that ran, because the name was asked for on successes only; and a request that is sent once more to the same target under its own name could take its first refusal for the second.

Change: any answer to a named request has to name it, else its outcome is unknown; a connection on which a request was refused does not carry that request again, and ends after 16 refusals, which bounds the names kept.

odd_answers: earlier_refusal_of_the_same_request and refusal_without_a_name failed before (1 connection in place of 2; 'not run' in place of an unknown outcome); earlier_refusal_written_again passed before, too. All pass now.

--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -32,6 +32,10 @@
 /// request could cross its close.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
 
+constexpr const char* kNameless = "the answer does not name its request";
+/// Names of refused requests kept for one connection, which is closed then.
+constexpr std::size_t kMaxRefusedNames = 16;
+
 std::string Serialize(const HttpRequest& request, const Endpoint& address,
                       bool forward_host) {
   std::string text;
@@ -92,6 +96,7 @@
   bool head = false;
   bool idle = false;
   std::string request_id;                 ///< Of the request in progress.
+  std::vector<std::string> refused;       ///< Names of refused requests.
   Instant usable_until = Instant::max();  ///< While idle.
   std::uint64_t idle_periods = 0;
   TargetClient::Handle handle = 0;
@@ -115,7 +120,11 @@
     const Handle handle = ++last_handle;
     const auto key = std::make_pair(address.ip, address.port);
     Pool& pool = pools[key];
-    ConnectionPtr connection = TakeIdle(pool);
+    std::string request_id;
+    if (!init.dialect.request_id.empty()) {
+      request_id = request.header(init.dialect.request_id);
+    }
+    ConnectionPtr connection = TakeIdle(pool, request_id);
     const bool reused = connection != nullptr;
     if (!reused && pool.open >= init.max_connections) {
       ++stats.pool_full;
@@ -127,9 +136,7 @@
     if (!reused) connection = Open(pool, key);
     connection->handle = handle;
     connection->out = Serialize(request, address, init.dialect.forward_host);
-    if (!init.dialect.request_id.empty()) {
-      connection->request_id = request.header(init.dialect.request_id);
-    }
+    connection->request_id = std::move(request_id);
     connection->head = request.method == "HEAD";
     connection->may_write = std::move(may_write);
     connection->done = std::move(done);
@@ -143,14 +150,21 @@
     return handle;
   }
 
-  ConnectionPtr TakeIdle(Pool& pool) {
+  ConnectionPtr TakeIdle(Pool& pool, const std::string& request_id) {
     while (!pool.idle.empty()) {
       ConnectionPtr connection = pool.idle.back();
       pool.idle.pop_back();
       connection->idle = false;
       const bool fresh =
           std::chrono::steady_clock::now() < connection->usable_until;
-      if (fresh && !HasUnexpectedInput(connection->socket)) return connection;
+      // A faulty target may write an earlier refusal again; for the same
+      // request it could not be told from a new one.
+      const auto& refused = connection->refused;
+      const bool was_refused = std::find(refused.begin(), refused.end(),
+                                         request_id) != refused.end();
+      if (fresh && !was_refused && !HasUnexpectedInput(connection->socket)) {
+        return connection;
+      }
       Close(connection);
     }
     return nullptr;
@@ -256,12 +270,16 @@
       Read(connection);
       return;
     }
-    if (const char* fault = FaultOf(parser)) {
+    if (const char* fault = FaultOf(connection)) {
       Fail(connection, Failure::kSent, fault);
       return;
     }
+    if (IsRefusal(parser))
+      connection->refused.push_back(connection->request_id);
     // Bytes after the answer could be taken for the answer to a later request.
-    const bool reusable = parser.keep_alive() && connection->buffer.size() == 0;
+    const bool reusable = parser.keep_alive() &&
+                          connection->buffer.size() == 0 &&
+                          connection->refused.size() < kMaxRefusedNames;
     connection->usable_until =
         std::chrono::steady_clock::now() + IdleLimit(parser);
     HttpResponse response = ToResponse(parser);
@@ -282,15 +300,25 @@
     return echoed != message.end() && echoed->value() != connection->request_id;
   }
 
+  bool IsRefusal(const Parser& parser) const {
+    const std::string& name = init.dialect.not_run;
+    const auto& message = parser.get();
+    return !name.empty() &&
+           (message.find(name) != message.end() ||
+            message.result() == http::status::misdirected_request);
+  }
+
   /// Null if the answer is genuine and whole.
-  const char* FaultOf(const Parser& parser) const {
+  const char* FaultOf(const ConnectionPtr& connection) const {
     const HttpDialect& dialect = init.dialect;
     if (dialect.signature.empty()) return nullptr;
+    const Parser& parser = *connection->parser;
     const auto& message = parser.get();
-    if (!dialect.not_run.empty() &&
-        message.find(dialect.not_run) != message.end()) {
-      return nullptr;
-    }
+    const bool named = dialect.request_id.empty() ||
+                       message.find(dialect.request_id) != message.end();
+    // An answer without a name may be an earlier one, written once more.
+    if (!named && !connection->request_id.empty()) return kNameless;
+    if (IsRefusal(parser)) return nullptr;
     if (message.find(http::field::content_encoding) != message.end()) {
       return "the answer has an encoding that was not asked for";
     }
@@ -299,11 +327,7 @@
     if (message.find(dialect.signature) == message.end()) {
       return "the answer carries no signature";
     }
-    if (!dialect.request_id.empty() &&
-        message.find(dialect.request_id) == message.end()) {
-      return "the answer does not name its request";
-    }
-    return nullptr;
+    return named ? nullptr : kNameless;
   }
 
   /// Idle time for which the target keeps the connection, less a margin.
--- /dev/null
+++ b/tests/platform/odd_answers_test.cpp
@@ -0,0 +1,203 @@
+// Answers of faulty targets: earlier ones written again and nameless ones.
+
+#include <array>
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "target_client.h"
+#include "wire.h"
+
+namespace lentilcross::platform {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using Failure = TargetClient::Failure;
+
+/// Bytes that a call may take from a target: the largest body and what fits
+/// into buffers of sockets.
+constexpr std::size_t kMostBytes = std::size_t{16} << 20;
+
+std::string Answer(int status, const std::string& headers,
+                   const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Named(const std::string& id) {
+  return "X-Lentilcross-Request-Id: " + id + "\r\n";
+}
+
+std::string Good(const std::string& id) {
+  return Answer(200, Named(id) + "X-Lentilcross-Server-Seal: s\r\n", id);
+}
+
+std::string Refused(const std::string& headers) {
+  return Answer(503, headers + "X-Lentilcross-Not-Executed: true\r\n", "");
+}
+
+/// Writes what the script says for the first, second, ... request, on every
+/// connection; an endless answer is repeated until the connection ends.
+class ScriptedTarget {
+ public:
+  struct Step {
+    std::string text;
+    std::string endless;
+  };
+
+  explicit ScriptedTarget(std::vector<Step> script)
+      : script_(std::move(script)),
+        acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~ScriptedTarget() {
+    io_.stop();
+    thread_.join();
+  }
+
+  Endpoint endpoint() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+  std::size_t written() const { return written_; }
+  int connections() const { return connections_; }
+
+ private:
+  struct Connection {
+    explicit Connection(asio::io_context& io) : socket(io) {}
+    tcp::socket socket;
+    std::string in;
+    std::string out;
+    std::string endless;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void Accept() {
+    auto connection = std::make_shared<Connection>(io_);
+    acceptor_.async_accept(connection->socket,
+                           [this, connection](boost::system::error_code error) {
+                             if (error) return;
+                             ++connections_;
+                             Read(connection);
+                             Accept();
+                           });
+  }
+  void Read(const ConnectionPtr& connection) {
+    asio::async_read_until(
+        connection->socket, asio::dynamic_buffer(connection->in), "\r\n\r\n",
+        [this, connection](boost::system::error_code error, std::size_t size) {
+          if (error) return;
+          connection->in.erase(0, size);
+          const Step& step = script_[std::min(next_++, script_.size() - 1)];
+          connection->out = step.text;
+          connection->endless = step.endless;
+          Write(connection);
+        });
+  }
+  void Write(const ConnectionPtr& connection) {
+    asio::async_write(
+        connection->socket, asio::buffer(connection->out),
+        [this, connection](boost::system::error_code error, std::size_t size) {
+          written_ += size;
+          if (error) return;
+          if (connection->endless.empty()) return Read(connection);
+          connection->out.clear();
+          while (connection->out.size() < 65536) {
+            connection->out += connection->endless;
+          }
+          Write(connection);
+        });
+  }
+
+  const std::vector<Step> script_;
+  std::size_t next_ = 0;
+  std::atomic<std::size_t> written_{0};
+  std::atomic<int> connections_{0};
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+struct Caller {
+  Caller() {
+    TargetClient::Init init;
+    init.dialect = MakeDialect();
+    client.emplace(io, init);
+  }
+
+  /// Empty if there was no result in time.
+  std::optional<TargetClient::Result> Call(const ScriptedTarget& target,
+                                           const std::string& id,
+                                           Duration time) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/book/1";
+    request.headers = {{"X-Lentilcross-Request-Id", id}};
+    std::optional<TargetClient::Result> result;
+    const auto handle = client->Start(
+        target.endpoint(), request, [] { return true; },
+        [&](TargetClient::Result&& got) { result = std::move(got); });
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (!result && std::chrono::steady_clock::now() < end) {
+      io.restart();
+      io.run_for(milliseconds(5));
+    }
+    if (!result) client->Cancel(handle);
+    io.restart();
+    io.run_for(milliseconds(50));
+    return result;
+  }
+
+  asio::io_context io;
+  std::optional<TargetClient> client;
+};
+
+constexpr Duration kTime = std::chrono::seconds(5);
+
+}  // namespace
+
+// Guards against a refusal of an earlier request that is taken for that of the
+// request that runs.
+BOOST_AUTO_TEST_CASE(earlier_refusal_written_again) {
+  const ScriptedTarget target(
+      {{Refused(Named("a")), ""}, {Refused(Named("a")) + Good("b"), ""}});
+  Caller caller;
+  const auto first = caller.Call(target, "a", kTime);
+  BOOST_REQUIRE((first && first->failure == Failure::kNone));
+  BOOST_TEST(first->response.status == 503);
+  const auto second = caller.Call(target, "b", kTime);
+  BOOST_REQUIRE((second && second->failure == Failure::kNone));
+  BOOST_TEST(second->response.status == 200);
+}
+
+// Guards against the same where the request is sent once more under its id.
+BOOST_AUTO_TEST_CASE(earlier_refusal_of_the_same_request) {
+  const ScriptedTarget target(
+      {{Refused(Named("a")), ""}, {Refused(Named("a")) + Good("a"), ""}});
+  Caller caller;
+  BOOST_REQUIRE(caller.Call(target, "a", kTime).has_value());
+  BOOST_REQUIRE(caller.Call(target, "a", kTime).has_value());
+  // On a new connection a refusal can only be that of the second run.
+  BOOST_TEST(target.connections() == 2);
+}
+
+// Guards against a refusal without a name that is taken for the answer to the
+// request that runs.
+BOOST_AUTO_TEST_CASE(refusal_without_a_name) {
+  const ScriptedTarget target({{Good("a"), ""}, {Refused(""), ""}});
+  Caller caller;
+  BOOST_REQUIRE(caller.Call(target, "a", kTime).has_value());
+  const auto second = caller.Call(target, "b", kTime);
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST((second->failure == Failure::kSent));
+}
+
+}  // namespace lentilcross::platform
