Bound what is read ahead of the parsers of requests and answers

Bytes that are no answer may come without end until the caller closes. A chunk extension or a trailer without end was buffered whole: a target wrote 1.8 and 2.2 GB within 5 s to one call before the test gave up, far above the memory of a daemon. Interim answers and answers to other requests without end kept a call and the processor busy up to its deadline. Listeners had the same fault with requests.

Cause: the limits of the parser count header fields and the body, not what it has to see whole while it asks for more; the buffer had no limit.

Change: buffers take 64 KiB; the 17th answer that is skipped ends the call with an unknown outcome; an answer of a store has at most 32 MiB in place of 4 GiB.

bytes_without_end (odd_answers) failed before in the cases chunk extension, trailer, interim answers and answers to others; request_without_end_is_refused (http_front) failed before in two of three cases. Both pass now, with store_client and operator.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <limits>
+#include <cstdint>
 #include <optional>
 
 #include "tcp_endpoint.h"
@@ -17,6 +17,10 @@
 namespace http = beast::http;
 using Tcp = asio::ip::tcp;
 
+/// Largest body of an answer: a page of a store is about 1 MB, the changes of
+/// an outage may be a few of them.
+constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{32} << 20;
+
 struct IdlePool;
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
@@ -101,7 +105,7 @@
 
   void Read() {
     parser_.emplace();
-    parser_->body_limit(std::numeric_limits<std::uint32_t>::max());
+    parser_->body_limit(kMaxAnswerBytes);
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code code, std::size_t) {
@@ -134,7 +138,7 @@
   Tcp::endpoint endpoint_;
   bool connected_ = false;
   std::uint64_t request_number_ = 0;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferedBytes};
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpClient::Callback callback_;
--- a/src/http_front.cpp
+++ b/src/http_front.cpp
@@ -53,7 +53,7 @@
   explicit Session(tcp::socket socket) : stream(std::move(socket)) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{web::kMaxBufferedBytes};
   std::optional<Parser> parser;
   http::response<http::string_body> response;
   std::deque<Exchange> exchanges;  ///< Not completely answered.
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -7,6 +7,10 @@
 
 namespace lentilcross::web {
 
+/// Bytes read ahead of a parser. Bounds what it has to see whole, such as the
+/// header, the extension of a chunk and the trailer.
+inline constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 /// Value of a header, compared without case; empty if it is not there.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -130,7 +130,7 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<ServerState> state_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferedBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   std::weak_ptr<Exchange> exchange_;
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -33,6 +33,8 @@
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
 
 constexpr const char* kNameless = "the answer does not name its request";
+/// Interim answers, and answers to other requests, before the one waited for.
+constexpr int kMaxSkippedAnswers = 16;
 /// Names of refused requests kept for one connection, which is closed then.
 constexpr std::size_t kMaxRefusedNames = 16;
 
@@ -90,12 +92,13 @@
 
   tcp::socket socket;
   std::pair<std::string, std::uint16_t> key;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{web::kMaxBufferedBytes};
   std::optional<Parser> parser;
   std::string out;
   bool head = false;
   bool idle = false;
   std::string request_id;                 ///< Of the request in progress.
+  int skipped_answers = 0;                ///< Since it was written.
   std::vector<std::string> refused;       ///< Names of refused requests.
   Instant usable_until = Instant::max();  ///< While idle.
   std::uint64_t idle_periods = 0;
@@ -137,6 +140,7 @@
     connection->handle = handle;
     connection->out = Serialize(request, address, init.dialect.forward_host);
     connection->request_id = std::move(request_id);
+    connection->skipped_answers = 0;
     connection->head = request.method == "HEAD";
     connection->may_write = std::move(may_write);
     connection->done = std::move(done);
@@ -259,14 +263,14 @@
 
   void OnAnswer(const ConnectionPtr& connection) {
     Parser& parser = *connection->parser;
-    if (parser.get().result_int() < 200) {
-      // Interim answer: the final one follows on the same connection.
-      Read(connection);
-      return;
-    }
-    if (IsForAnother(connection)) {
-      // A late extra answer; the one that is waited for follows.
-      ++stats.foreign_answers;
+    const bool interim = parser.get().result_int() < 200;
+    if (interim || IsForAnother(connection)) {
+      // The answer that is waited for follows on the same connection.
+      if (!interim) ++stats.foreign_answers;
+      if (++connection->skipped_answers > kMaxSkippedAnswers) {
+        Fail(connection, Failure::kSent, "too many answers to other requests");
+        return;
+      }
       Read(connection);
       return;
     }
--- a/tests/daemon/http_front_test.cpp
+++ b/tests/daemon/http_front_test.cpp
@@ -74,6 +74,30 @@
   BOOST_TEST(answer.rfind("HTTP/1.1 503", 0) == 0U, answer);
 }
 
+// Guards against memory without bound where a caller sends bytes that never
+// make a request.
+BOOST_AUTO_TEST_CASE(request_without_end_is_refused) {
+  constexpr std::size_t kMostBytes = std::size_t{16} << 20;
+  const std::string head = "POST /book HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& begin :
+       {head + "X-Padding: ", chunked + "5;e=", chunked + "0\r\nX-Padding: "}) {
+    Setup setup;
+    setup.Send(begin);
+    setup.caller.non_blocking(true);
+    const std::string padding(65536, 'x');
+    std::size_t sent = 0;
+    boost::system::error_code error;
+    const bool ended = setup.RunUntil([&] {
+      if (setup.front->stats().malformed > 0) return true;
+      sent += setup.caller.write_some(boost::asio::buffer(padding), error);
+      return sent > kMostBytes;
+    });
+    BOOST_TEST(ended);
+    BOOST_TEST(setup.front->stats().malformed == 1U, begin);
+  }
+}
+
 // Guards against a request that is cut because its end arrives after the close.
 BOOST_AUTO_TEST_CASE(request_half_read_at_the_close_is_answered) {
   for (const std::string first :
--- a/tests/platform/odd_answers_test.cpp
+++ b/tests/platform/odd_answers_test.cpp
@@ -1,4 +1,5 @@
-// Answers of faulty targets: earlier ones written again and nameless ones.
+// Answers of faulty targets: earlier ones written again, nameless ones, and
+// bytes without end.
 
 #include <array>
 #include <atomic>
@@ -200,4 +201,35 @@
   BOOST_TEST((second->failure == Failure::kSent));
 }
 
+// Guards against memory and time without bound where a target sends bytes that
+// never make an answer.
+BOOST_AUTO_TEST_CASE(bytes_without_end) {
+  const std::string head = "HTTP/1.1 200 OK\r\n" + Named("a");
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string padding(1000, 'x');
+  const std::vector<std::pair<const char*, ScriptedTarget::Step>> cases = {
+      {"no head", {"", padding}},
+      {"head", {head, "X-Padding: " + padding + "\r\n"}},
+      {"header line", {head + "X-Padding: ", padding}},
+      {"body up to the end of the connection", {head + "\r\n", padding}},
+      {"body of a length",
+       {head + "Content-Length: 99999999999\r\n\r\n", padding}},
+      {"chunks", {chunked, "5\r\nabcde\r\n"}},
+      {"chunk extension", {chunked + "5;e=", padding}},
+      {"trailer", {chunked + "0\r\n", "X-Padding: " + padding + "\r\n"}},
+      {"interim answers", {"", "HTTP/1.1 102 Processing\r\n\r\n"}},
+      {"answers to others", {"", Good("z")}},
+  };
+  for (const auto& [name, step] : cases) {
+    BOOST_TEST_CONTEXT(name) {
+      const ScriptedTarget target({step});
+      Caller caller;
+      const auto result = caller.Call(target, "a", kTime);
+      BOOST_TEST(result.has_value());
+      if (result) BOOST_TEST((result->failure == Failure::kSent));
+      BOOST_TEST(target.written() < kMostBytes);
+    }
+  }
+}
+
 }  // namespace lentilcross::platform
