--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -6,6 +6,7 @@
 
 #include "lentilcross/configuration.h"
 #include "lentilcross/keys.h"
+#include "lentilcross/registry.h"
 #include "platform/documents.h"
 #include "result.h"
 
@@ -179,6 +180,62 @@
   BOOST_TEST(!registered.decode_error.empty());
 }
 
+// Guards against one odd entry that ends the process, or that peers refuse
+// together with all other changes in the same message.
+BOOST_AUTO_TEST_CASE(odd_registration_stops_nobody) {
+  const std::string deep = std::string(400000, '[') + std::string(400000, ']');
+  const std::string deep_object = [] {
+    std::string text;
+    for (int i = 0; i < 100000; ++i) text += "{\"a\":";
+    return text + "1" + std::string(100000, '}');
+  }();
+  const std::string good =
+      MakeRegistration("stock", "10.1.0.26:8547", 77).dump();
+  const auto with = [&good](const std::string& from, const std::string& to) {
+    std::string text = good;
+    const std::size_t at = text.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+  };
+  std::vector<std::pair<std::string, std::string>> entries = {
+      {"i-1", deep},
+      {"i-1", deep.substr(0, 400000)},
+      {"i-1", deep_object},
+      {"i-1", with("8547", "85470")},
+      {"i-1", with("8547", "99999999999999999999")},
+      {"i-1", with("8547", "-1")},
+      {"i-1", with("\"stock\"", "\"" + std::string(300, 's') + "\"")},
+      {"i-1", with("\"zone-a\"", "\"" + std::string(300, 'z') + "\"")},
+      {"i-1", with("\"stock\"", "\"sto\\r\\nck\"")},
+      {std::string(300, 'i'), good},
+      {"i-1\r\nX: 1", good},
+      {"", good},
+  };
+  for (const std::string number :
+       {"1e999", "-1e999", "99999999999999999999", "18446744073709551615",
+        "-9223372036854775808", "1e30", deep.c_str()}) {
+    entries.emplace_back("i-1", with("\"slots\":8", "\"slots\":" + number));
+    entries.emplace_back("i-1", with("\"born\":77", "\"born\":" + number));
+    entries.emplace_back(
+        "i-1", with("\"state\"", "\"cold-left-ms\":" + number + ",\"state\""));
+  }
+  for (const auto& [name, text] : entries) {
+    const auto registered = Capture<RegisteredTarget>([&, n = name, t = text] {
+      return DecodeRegistration(n, t, 8543, Instant{});
+    });
+    if (!registered.value) continue;
+    // What is taken over has to reach peers.
+    Registry registry{Registry::Init{}};
+    registry.OnSnapshot({1, {}, {}}, Instant{});
+    registry.OnChanges(2, {{name, 2, *registered.value}}, Instant{});
+    const auto news = registry.TakeNews(Instant{});
+    BOOST_REQUIRE(news);
+    const auto decoded =
+        Capture<PeerMessage>([&] { return Decode(Encode(*news)); });
+    BOOST_TEST(decoded.value.has_value(), text.substr(0, 200));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(registration_of_arbitrary_bytes_names_no_target) {
   for (const std::string bytes : {"", "\x01\x02", "{", "[]", "null"}) {
     const auto registered = Capture<RegisteredTarget>(
