Let entries that name nothing known hide no target

Of several registrations of one host the one started last counts. It was picked before services and failure domains were looked up, so that an odd entry at the address of a target, with a later start, took the target out of service.

entry_that_names_nothing_known_hides_no_target (fleet) failed before and passes now.

--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -7,12 +7,20 @@
 namespace lentilcross {
 namespace {
 
+bool IsKnown(const RegisteredTarget& target, const Configuration& known) {
+  return known.services.count(ServiceId::FromName(target.service)) != 0 &&
+         known.failure_domains.count(
+             FailureDomainId::FromName(target.failure_domain)) != 0;
+}
+
 /// Registration of the target that was started last on each host. An earlier
 /// one may stay in the registry for a while after its address was reused.
 std::map<std::string, const RegisteredTarget*> NewestOfHosts(
-    const Fleet& fleet) {
+    const Fleet& fleet, const Configuration& configuration) {
   std::map<std::string, const RegisteredTarget*> newest;
   for (const auto& [name, target] : fleet.targets) {
+    // An entry that names nothing known costs the host no target of its own.
+    if (!IsKnown(target, configuration)) continue;
     const RegisteredTarget*& kept = newest[target.host];
     if (kept == nullptr || kept->started_ms <= target.started_ms) {
       kept = &target;
@@ -46,15 +54,12 @@
 std::shared_ptr<const Configuration> WithFleet(
     const Configuration& configuration, const Fleet& fleet) {
   auto merged = std::make_shared<Configuration>(configuration);
-  const auto newest = NewestOfHosts(fleet);
-  for (const auto& [name, target] : fleet.targets) {
-    if (newest.at(target.host) != &target) continue;
+  for (const auto& [host_name, newest] : NewestOfHosts(fleet, configuration)) {
+    const RegisteredTarget& target = *newest;
+    const std::string& name = target.name;
     const auto service =
         merged->services.find(ServiceId::FromName(target.service));
     const auto domain = FailureDomainId::FromName(target.failure_domain);
-    const bool known = service != merged->services.end() &&
-                       merged->failure_domains.count(domain) != 0;
-    if (!known) continue;
     const HostId host = HostId::FromName(target.host);
     merged->hosts.emplace(host,
                           HostEntry{host, target.host, domain, target.peer});
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -200,6 +200,22 @@
   BOOST_TEST((merged->version == (*parsed.value)->version));
 }
 
+// Guards against an odd entry at the address of a target that takes its place.
+BOOST_AUTO_TEST_CASE(entry_that_names_nothing_known_hides_no_target) {
+  const auto parsed = Capture<std::shared_ptr<const Configuration>>(
+      [] { return Configuration::Parse(kDocument); });
+  BOOST_REQUIRE(parsed.value);
+  RegisteredTarget odd = MakeTarget("odd");
+  odd.started_ms = 200;
+  odd.service = "elsewhere";
+  const auto merged =
+      WithFleet(**parsed.value, MakeFleet(9, {MakeTarget("good"), odd}));
+  const auto& targets =
+      merged->services.at(ServiceId::FromName("stock")).targets;
+  BOOST_REQUIRE(targets.size() == 1U);
+  BOOST_TEST(targets[0].name == "good");
+}
+
 // Guards against a lapsed host that gets calls or reads the platform for
 // others, and against one that loses its part in quotas.
 BOOST_AUTO_TEST_CASE(lapsed_host_has_quotas_but_no_target) {
