--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -361,6 +361,29 @@
   BOOST_TEST(fleet.PeakCalls(from) <= 3 * 4);
 }
 
+// Guards against a domain that hears of a version by chance, because the only
+// host there that reads the platform is shut out from it.
+BOOST_AUTO_TEST_CASE(domain_whose_reader_is_shut_out) {
+  // Half of the time in which a version is in force. Readers need the rest.
+  constexpr Duration kSpread = seconds(1);
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    auto options = SmallOptions(seed);
+    options.hosts = 24;
+    options.domains = 6;
+    options.init.readers_per_domain = 1;
+    SpreadFleet fleet(options);
+    StartWithVersionOne(fleet);
+    const auto shut_out = static_cast<int>(seed) % options.domains;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      fleet.node(i).platform_reachable = fleet.DomainOf(i) != shut_out;
+    }
+    fleet.RunFor(seconds(5));
+    fleet.Publish(2);
+    BOOST_TEST(fleet.RunUntilAllHold(Version(2), kSpread).has_value(),
+               "seed " << seed);
+  }
+}
+
 // Guards against a fleet that gets no new version when all readers are gone.
 BOOST_AUTO_TEST_CASE(other_hosts_read_when_all_readers_are_gone) {
   auto options = SmallOptions();
