Give tests that run side by side a peer port each

late_configuration and platform_path listened on the same addresses and port; platform_path failed with 'cannot listen' when CTest ran both at a time.

--- a/tests/platform/late_configuration_test.cpp
+++ b/tests/platform/late_configuration_test.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kApply = milliseconds(2000);
 constexpr Duration kStable = milliseconds(3000);
 
+/// Other tests that run at the same time use the usual port.
+constexpr std::uint16_t kPeerPort = 17544;
+
 Json WithoutKeys(int version) {
   Json configuration = MakeOperatorConfiguration(version);
   for (Json& tenant : configuration["tenants"]) {
@@ -40,7 +43,7 @@
 // connections work.
 BOOST_AUTO_TEST_CASE(watch_on_a_silent_connection) {
   for (const auto age : {milliseconds(50), milliseconds(600)}) {
-    PathSetup setup;
+    PathSetup setup(Signed(), kPeerPort);
     std::this_thread::sleep_for(milliseconds(1500) + age);
     setup.store.SilenceWatches("op/config");
     setup.store.Put("op/config", WithoutKeys(4).dump());
@@ -52,7 +55,7 @@
 BOOST_AUTO_TEST_CASE(store_that_was_away) {
   for (const auto fault :
        {FakeStore::Fault::kSilent, FakeStore::Fault::kUnavailable}) {
-    PathSetup setup;
+    PathSetup setup(Signed(), kPeerPort);
     setup.store.SetFault(fault);
     setup.store.SilenceWatches("op/config");
     setup.store.SilenceWatches("servers/");
@@ -65,7 +68,7 @@
 
 // Guards against a version that waits for the next call after another one.
 BOOST_AUTO_TEST_CASE(two_versions_in_quick_succession) {
-  PathSetup setup;
+  PathSetup setup(Signed(), kPeerPort);
   setup.store.Put("op/config", MakeOperatorConfiguration(4).dump());
   std::this_thread::sleep_for(milliseconds(50));
   setup.store.Put("op/config", WithoutKeys(5).dump());
--- a/tests/platform/path_setup.h
+++ b/tests/platform/path_setup.h
@@ -60,13 +60,14 @@
 
 /// A store and two hosts in one failure domain: `stock` and `ledger`.
 struct PathSetup {
-  explicit PathSetup(FakeTarget::Handler ledger = Signed()) {
+  explicit PathSetup(FakeTarget::Handler ledger = Signed(),
+                     std::uint16_t peer_port = kPeerPort) {
     store.Put("op/config", MakeOperatorConfiguration(3).dump());
     // The peer port is equal on all machines; the first free one of the range.
     stock = std::make_unique<Host>("127.0.0.2", "stock", store.endpoint(),
-                                   kPeerPort, Signed());
+                                   peer_port, Signed());
     ledger_host = std::make_unique<Host>(
-        "127.0.0.3", "ledger", store.endpoint(), kPeerPort, std::move(ledger));
+        "127.0.0.3", "ledger", store.endpoint(), peer_port, std::move(ledger));
     Register("i-stock", "stock", "127.0.0.2");
     Register("i-ledger", "ledger", "127.0.0.3");
     for (Host* host : {stock.get(), ledger_host.get()}) {
