Give up idle links that went silent within the time of a version

Callers got 404 for a route of a version that was confirmed over 2 s before.

Cause: a link between daemons without requests was given up 5 s after its last byte. Versions pushed on it meanwhile were lost, and digests that would have told went the same way. The class of fault is that of the watches of the store: a time limit that does not follow from the time in which the waiter has to act.

Change: an idle link is given up after 2.7 s: the 2 s after which it is pinged and 0.7 s for the answer. No ping is added.

--- a/src/peer_links.h
+++ b/src/peer_links.h
@@ -31,7 +31,10 @@
     /// those within the own failure domain, and those that are busy.
     Duration contact_interval = std::chrono::seconds(1);
     Duration dead_busy = std::chrono::milliseconds(300);
-    Duration dead_idle = std::chrono::seconds(5);
+    /// A ping after `heartbeat_idle`, and time for its answer. What is pushed
+    /// on a silent link is lost, so that it has to be replaced before a version
+    /// would be late.
+    Duration dead_idle = std::chrono::milliseconds(2700);
     Duration handshake = std::chrono::seconds(1);
     Duration backoff_min = std::chrono::milliseconds(50);
     Duration backoff_max = std::chrono::seconds(2);
