--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "duration_text.h"
 #include "lentilcross/spread.h"
 #include "platform_client.h"
 
@@ -22,11 +23,6 @@
 /// Messages kept while the ring to the thread `data` is full.
 constexpr std::size_t kMaxHeldBack = 4096;
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 std::string NameOf(const Configuration* configuration, HostId host) {
   if (configuration != nullptr) {
     const auto it = configuration->hosts.find(host);
@@ -165,9 +161,9 @@
     Log(LogLevel::kInfo, "platform-failure",
         {{"cause", cause},
          {"version", std::to_string(published.value())},
-         {"took_ms", Milliseconds(now - call_began)},
-         {"confirmed_ms", Milliseconds(age)},
-         {"pause_ms", Milliseconds(spread.PlatformPause(now))}});
+         {"took_ms", MillisecondsText(now - call_began)},
+         {"confirmed_ms", MillisecondsText(age)},
+         {"pause_ms", MillisecondsText(spread.PlatformPause(now))}});
     Step();
   }
 
@@ -312,7 +308,7 @@
          {"preset", current->preset.name},
          {"source", source},
          {"confirmed_ms",
-          Milliseconds(spread.PlatformAge(steady_clock::now()))}});
+          MillisecondsText(spread.PlatformAge(steady_clock::now()))}});
     if (init.on_audit) init.on_audit(MakeRecord(*current, source));
     SendAll(spread.Tick(membership, steady_clock::now(), random));
   }
--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "duration_text.h"
 #include "peer_handshake.h"
 #include "peer_links.h"
 #include "peer_transport.h"
@@ -402,8 +403,7 @@
       Log(LogLevel::kWarn, "peer-link-silent",
           {{"peer", std::to_string(link.peer.host.value())},
            {"busy", busy ? "yes" : "no"},
-           {"heard_ms", std::to_string((now - link.heard) /
-                                       std::chrono::milliseconds(1))}});
+           {"heard_ms", MillisecondsText(now - link.heard)}});
       Drop(id, DownKind::kSilent);
       return;
     }
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "call_replies.h"
+#include "duration_text.h"
 #include "lentilcross/config.h"
 #include "lentilcross/shedding.h"
 #include "request_rules.h"
@@ -34,11 +35,6 @@
 
 using EntryPtr = std::shared_ptr<Entry>;
 
-std::string ToMilliseconds(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 struct RequestPipeline::Impl : std::enable_shared_from_this<Impl> {
@@ -388,8 +384,8 @@
           {"reason", std::string(ToString(refusal.reason))},
           {"outcome", std::string(ToString(refusal.outcome))},
           {"detail", refusal.detail},
-          {"after_ms", ToMilliseconds(now - entry.arrived)},
-          {"retry_after_ms", ToMilliseconds(refusal.retry_after)},
+          {"after_ms", MillisecondsText(now - entry.arrived)},
+          {"retry_after_ms", MillisecondsText(refusal.retry_after)},
           {"route", entry.route == nullptr ? "" : entry.route->prefix}};
       if (entry.configuration) {
         fields.emplace_back(
