Exchange quotas through one primary owner for each organisation

Cause: each of 6 to 9 failure domains had two owners of an organisation. The best ranked one collected the quotas of up to 17 others and renewed each loan every 0.6 s, and every host asked the owner of its own domain, which asked the primary.

Change: - Owners are chosen by region (`rate_owners_per_region`, 2); `rate_owners_per_domain` remains for deployments that want it. - All hosts ask the primary owner. If it does not answer, an owner near by. - Hosts without a reserve ask for single tokens, on loans that end by themselves. Only whole tokens are lent on them; unused ones are returned at once. - Loans on their way are no longer returned as idle while requests wait for them. This refused callers within rate whenever no owner held a whole token. - A borrowed rate whose bucket is full is halved, no tokens are returned while a grant is on its way, loans are renewed at 0.35 of their term. - Periodic work visits active organisations only, and reading what is held makes no copy of the account.

The request path of the fault matrix did not connect to suspected hosts as the product does; it relied on loan messages for that.

--- a/include/lentilcross/configuration.h
+++ b/include/lentilcross/configuration.h
@@ -113,8 +113,12 @@
 struct Configuration {
   Version version;
   PresetEntry preset;  ///< The active preset.
-  /// Hosts in each failure domain that own an organisation's rate quota.
-  int rate_owners_per_domain = 2;
+  /// Hosts in each region that own an organisation's rate quota.
+  int rate_owners_per_region = 2;
+  /// Hosts in each failure domain that own it, instead of those in each region;
+  /// 0: not set. More owners keep more of the rate usable in a failure domain
+  /// that is cut off, and exchange more messages.
+  int rate_owners_per_domain = 0;
   std::unordered_map<FailureDomainId, FailureDomainEntry> failure_domains;
   std::unordered_map<HostId, HostEntry> hosts;
   std::unordered_map<ServiceId, ServiceEntry> services;
--- a/src/configuration_reader.cpp
+++ b/src/configuration_reader.cpp
@@ -125,6 +125,8 @@
     root_.Integer<std::uint64_t>("version", Presence::kRequired, 1, kMaxVersion,
                                  version);
     result_->version = Version(version);
+    root_.Integer("rate_owners_per_region", Presence::kOptional, 1,
+                  kMaxRateOwners, result_->rate_owners_per_region);
     root_.Integer("rate_owners_per_domain", Presence::kOptional, 1,
                   kMaxRateOwners, result_->rate_owners_per_domain);
     ReadFailureDomains();
--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -9,8 +9,6 @@
 
 constexpr std::size_t kMaxAssignments = 16;
 constexpr std::size_t kMaxBorrowers = 4096;
-// Tolerates rounding errors of adding and subtracting quotas.
-constexpr double kRoundingTolerance = 1e-9;
 constexpr Instant kNoEvent = Instant::max();
 // Longer than any loan term, so that no message about a removed loan is valid.
 constexpr Duration kExpiredLoanRetention =
@@ -142,15 +140,9 @@
   return expired;
 }
 
-double RateAccount::TokensAt(Instant now) const {
-  const std::chrono::duration<double> elapsed = now - time_;
-  const double all = tokens_ + held_.rate * elapsed.count();
-  return std::max(0.0, std::min(all, held_.burst));
-}
-
 bool RateAccount::TakeToken() {
   if (tokens_ < 1 - kRoundingTolerance) return false;
-  tokens_ -= 1;
+  tokens_ = std::max(0.0, tokens_ - 1);
   return true;
 }
 
@@ -324,7 +316,7 @@
 
 void RateAccount::Grant(LentQuota& lent, const Loan& loan, Instant until) {
   lent.leases.push_back({loan.quota, until, lent.last_number, loan.part});
-  tokens_ -= loan.tokens;
+  tokens_ = std::max(0.0, tokens_ - loan.tokens);
   Recompute(time_);
 }
 
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -12,6 +12,9 @@
 /// Most unexpired grants of one lender to one borrower.
 inline constexpr std::size_t kMaxLeasesPerLoan = 24;
 
+/// Tolerates rounding errors of adding and subtracting quotas.
+inline constexpr double kRoundingTolerance = 1e-9;
+
 Quota operator+(Quota a, Quota b);
 Quota operator-(Quota a, Quota b);
 Quota Min(Quota a, Quota b);
@@ -42,6 +45,7 @@
   HostId borrower;
   Incarnation incarnation;
   bool may_relend = false;  ///< Quota borrowed by this host may be lent to it.
+  bool is_owner = false;    ///< The borrower owns part of the quota.
   std::uint32_t last_number = 0;  ///< Of its last request or return.
   /// Oldest first: the grants in the borrower's last report and all newer ones.
   std::vector<QuotaLease> leases;
@@ -96,14 +100,6 @@
   /// that expired.
   int Advance(Instant now, Instant own_until);
 
-  /// True if no quota changes up to `now`, so that `Advance` would only
-  /// generate tokens.
-  bool HasNoEventUntil(Instant now, Instant own_until) const {
-    return own_until == own_until_ && now < next_event_ && now >= time_;
-  }
-  /// Tokens at a time for which `HasNoEventUntil` is true.
-  double TokensAt(Instant now) const;
-
   Quota own() const { return own_; }
   Quota held() const { return held_; }
   Quota borrowed_total() const { return borrowed_total_; }
--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(1);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+// Time without requests after which an organisation costs nothing more.
+constexpr Duration kIdleAfter = std::chrono::seconds(3);
 
 Duration Seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(
@@ -39,22 +41,21 @@
                                 const OrganisationEntry* entry, Instant now) {
   Advance(org, now);
   org.lenders_known = false;
-  org.local_owners.clear();
   org.is_owner = false;
+  const OwnerGroupId group = owners.GroupOf(init.failure_domain);
   if (entry == nullptr) {
     org.total = {};
   } else {
-    org.local_owners = owners.Find(org.id, init.failure_domain);
-    org.is_owner = std::find(org.local_owners.begin(), org.local_owners.end(),
-                             init.self) != org.local_owners.end();
+    const std::vector<HostId> found = owners.Find(org.id, group);
+    org.is_owner =
+        std::find(found.begin(), found.end(), init.self) != found.end();
   }
   // The first quota of a host takes effect after `start_wait` instead of the
   // handover. It is not set before the host is listed, as a host may receive a
   // configuration before its own registration.
-  const bool is_listed = owners.DomainOf(init.self).valid();
+  const bool is_listed = owners.GroupOf(init.self).valid();
   if (org.account.has_no_assigned_quota() && !is_listed) return;
-  const double share =
-      org.is_owner ? owners.ShareOfOwner(init.failure_domain) : 0;
+  const double share = org.is_owner ? owners.ShareOfOwner(group) : 0;
   org.account.SetAssignedQuota(
       {org.total.rate * share, org.total.burst * share}, now, init.handover,
       init.start_wait.value_or(init.handover));
@@ -86,6 +87,10 @@
 }
 
 void RateLimiter::Impl::MarkDirty(OrganisationState& org) {
+  if (!org.active) {
+    org.active = true;
+    active.push_back(org.id);
+  }
   if (org.dirty) return;
   org.dirty = true;
   dirty.push_back(org.id);
@@ -101,7 +106,10 @@
   }
   Advance(*org, now);
   const bool is_new = waited <= Duration::zero();
-  if (is_new) org->local_demand.Add(1, now);
+  if (is_new) {
+    org->local_demand.Add(1, now);
+    MarkDirty(*org);
+  }
   if (!org->account.TakeToken()) return OnNoToken(*org, waited, now);
   if (!is_new) org->waiting = std::max(0, org->waiting - 1);
   ++stats.admitted;
@@ -155,12 +163,17 @@
 
 void RateLimiter::Impl::Sweep(Instant now) {
   last_sweep = now;
-  for (auto& [id, org] : orgs) {
+  std::vector<OrganisationId> visited;
+  visited.swap(active);
+  for (const OrganisationId id : visited) {
+    OrganisationState& org = orgs[id];
     Advance(org, now);
     org.account.RemoveExpiredLoans();
     const bool idle = org.account.borrowed().empty() && org.waiting == 0 &&
-                      now - org.local_demand.last() > std::chrono::seconds(3);
+                      now - org.local_demand.last() > kIdleAfter;
     if (!idle) MarkDirty(org);
+    org.active = !idle || !org.account.lent().empty();
+    if (org.active) active.push_back(id);
   }
   const Instant oldest = now - init.loan_term;
   for (auto& [host, list] : sent_requests) {
@@ -264,25 +277,17 @@
 }
 
 Quota RateLimiter::held(OrganisationId organisation, Instant now) const {
-  const OrganisationState* org = impl_->Find(organisation);
+  OrganisationState* org = impl_->Find(organisation);
   if (org == nullptr) return {};
-  if (org->account.HasNoEventUntil(now, impl_->own_until)) {
-    return org->account.held();
-  }
-  RateAccount account = org->account;
-  account.Advance(now, impl_->own_until);
-  return account.held();
+  impl_->Advance(*org, now);
+  return org->account.held();
 }
 
 double RateLimiter::tokens(OrganisationId organisation, Instant now) const {
-  const OrganisationState* org = impl_->Find(organisation);
+  OrganisationState* org = impl_->Find(organisation);
   if (org == nullptr) return 0;
-  if (org->account.HasNoEventUntil(now, impl_->own_until)) {
-    return org->account.TokensAt(now);
-  }
-  RateAccount account = org->account;
-  account.Advance(now, impl_->own_until);
-  return account.tokens();
+  impl_->Advance(*org, now);
+  return org->account.tokens();
 }
 
 bool RateLimiter::suspended(Instant now) const {
--- a/src/rate_book_impl.h
+++ b/src/rate_book_impl.h
@@ -16,6 +16,7 @@
 struct Lender {
   HostId host;
   Quota assigned;               ///< Its own quota by the configuration.
+  bool is_local = false;        ///< In the same owner group as this host.
   Instant last_request{};       ///< Or last return.
   double tokens_in_flight = 0;  ///< Requested and not answered.
   double last_need = 0;         ///< Tokens in the last request.
@@ -35,15 +36,26 @@
   int waiting = 0;          ///< Requests that wait for a token.
   Instant last_wait{};
   bool is_owner = false;
-  bool dirty = false;                ///< Listed in `Impl::dirty`.
-  std::vector<HostId> local_owners;  ///< Owners in this failure domain.
-  std::vector<Lender> lenders;       ///< Best ranked first.
+  bool dirty = false;   ///< Listed in `Impl::dirty`.
+  bool active = false;  ///< Listed in `Impl::active`.
+  /// Owners other than this host, best ranked first.
+  std::vector<Lender> lenders;
   bool lenders_known = false;
 };
 
 struct RateLimiter::Impl {
+  // Requested tokens are granted late for as long as a client request may wait
+  // for them.
+  static constexpr Duration kUnmetTokensLifetime =
+      std::chrono::milliseconds(40);
+
   explicit Impl(const Init& init_values);
 
+  /// Term of loans whose tokens the borrower uses at once. Later the requests
+  /// that asked for them are refused anyway. Such loans are neither renewed nor
+  /// returned.
+  Duration SpotTerm() const { return init.longest_wait + kUnmetTokensLifetime; }
+
   // Configuration and time.
   void Apply(const Configuration& configuration, Instant now);
   void ApplyTo(OrganisationState& org, const OrganisationEntry* entry,
@@ -62,18 +74,25 @@
     double demand = 0;    ///< Requests per second to be covered.
     double reserve = 0;   ///< Tokens to hold beyond the current need.
     double tokens = 0;    ///< Tokens to request now.
+    bool spot = false;    ///< Without a reserve: each token is used at once.
+    bool idle = false;    ///< All loans can be returned.
     bool urgent = false;  ///< More requests wait than tokens are available.
   };
   /// Rate to borrow from the primary lender in addition to the own rate.
   static double RateToBorrow(const OrganisationState& org,
                              const BorrowingNeeds& needs);
   void FindLenders(OrganisationState& org);
-  void DetectUnresponsiveLenders(OrganisationState& org, Instant now) const;
+  static void DetectUnresponsiveLenders(OrganisationState& org, Instant now);
+  bool IsRenewalDue(const OrganisationState& org, const Lender& lender,
+                    Instant now) const;
+  /// True if the loan ends so soon that no message about it is needed.
+  bool EndsSoon(const OrganisationState& org, const Lender& lender,
+                Instant now) const;
   /// Owner to borrow from. Null if this host is the primary owner, which
   /// borrows from all others.
   Lender* PrimaryLender(OrganisationState& org, Instant now);
   /// True if this host has to fetch what the borrower requests.
-  bool CountsAsDemand(const LentQuota& lent, bool is_primary) const;
+  static bool CountsAsDemand(const LentQuota& lent, bool is_primary);
   BorrowingNeeds ComputeNeeds(OrganisationState& org, bool is_primary,
                               Instant now);
   void PlanLoans(OrganisationState& org, Instant now);
@@ -83,12 +102,23 @@
                          const BorrowingNeeds& needs, Instant now);
   void RequestFromAll(OrganisationState& org, const BorrowingNeeds& needs,
                       Instant now);
+  void RequestRateAndTokens(OrganisationState& org, Lender& lender, Quota keep,
+                            double returned, Quota want_more, double need,
+                            Instant now);
+  void RequestSpotTokens(OrganisationState& org, Lender& lender, double need,
+                         Instant now);
   void ReturnLoan(OrganisationState& org, Lender& lender, Instant now);
   void QueueReturn(OrganisationState& org, Lender& lender, Quota keep,
                    double returned, Instant now);
-  void QueueRequest(OrganisationState& org, Lender& lender, Quota keep,
-                    double returned, Quota want_more, double need, Instant now);
+  void QueueRequest(OrganisationState& org, Lender& lender, LoanAsk ask,
+                    Instant now);
   void ReturnLoansOf(OrganisationState& org, Instant now);
+  struct SentRequest {
+    std::uint32_t number = 0;
+    Instant at{};
+  };
+  /// Null if it is unknown or older than a loan term.
+  const SentRequest* FindSentRequest(HostId to, std::uint32_t number) const;
   bool OnGrant(HostId from, const LoanGrant& grant, Instant now);
   void RecordAnswer(OrganisationState& org, Lender& lender, const Loan& loan,
                     Instant now);
@@ -101,10 +131,8 @@
   LentQuota* ApplyReport(OrganisationState& org, HostId from,
                          Incarnation borrower, std::uint32_t number,
                          const LoanAsk& ask, Instant now);
-  /// Order of preference among an organisation's owners; lower is better.
-  std::uint64_t RankOf(const OrganisationState& org, HostId owner) const;
-  bool IsLocalOwner(const OrganisationState& org, HostId host) const;
-  bool MayRelendTo(const OrganisationState& org, HostId borrower) const;
+  bool IsOwner(OrganisationState& org, HostId host);
+  bool MayRelendTo(OrganisationState& org, HostId borrower);
   double GrantableRate(const OrganisationState& org, const LentQuota& lent,
                        Instant now) const;
   double GrantableTokens(const OrganisationState& org, const LentQuota& lent,
@@ -124,10 +152,6 @@
   std::vector<Outgoing> TakeOutgoing(Instant now);
   std::vector<Outgoing> ReturnAllLoans(Instant now);
 
-  struct SentRequest {
-    std::uint32_t number = 0;
-    Instant at{};
-  };
   struct PendingGrant {
     HostId to;
     LoanGrant message;
@@ -143,6 +167,7 @@
   std::unordered_map<HostId, std::vector<LoanAsk>> pending_returns;
   std::vector<PendingGrant> pending_grants;
   std::vector<OrganisationId> dirty;
+  std::vector<OrganisationId> active;  ///< Visited by sweeps.
   std::uint32_t last_number = 0;
   Instant own_until{};  ///< Own quotas are suspended from then on.
   Instant last_sweep{};
--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -32,6 +32,8 @@
 constexpr double kMinReserveForRate = 3;
 // Smallest part of the whole burst that is worth returning.
 constexpr double kMinReturnShare = 0.02;
+// Part of a borrowed rate that is kept when the bucket is full.
+constexpr double kOverflowRateShare = 0.5;
 // More tokens are requested below this share of the reserve.
 constexpr double kLowReserveShare = 0.3;
 // Requests more than an equal part from each lender, as some have less.
@@ -40,6 +42,9 @@
 constexpr Duration kGrownRequestInterval = std::chrono::milliseconds(1);
 constexpr Duration kRateRequestInterval = std::chrono::milliseconds(200);
 constexpr Duration kRenewInterval = std::chrono::milliseconds(100);
+// A loan is renewed when no more than this share of its term is left: enough
+// for three more attempts with the shortest term in use.
+constexpr double kRenewalShare = 0.35;
 constexpr Duration kMaxReturnInterval = std::chrono::milliseconds(50);
 // Part of the refill time of the whole bucket for which unused burst may be
 // kept. Meanwhile other hosts lack that burst to accumulate tokens.
@@ -99,18 +104,32 @@
   return std::max(0.0, held.burst - org.account.tokens() - headroom);
 }
 
-bool IsRenewalDue(const RateAccount& account, const Lender& lender,
-                  Instant now) {
+const BorrowedQuota* FindLoan(const RateAccount& account, HostId lender) {
   for (const BorrowedQuota& loan : account.borrowed()) {
-    if (loan.lender != lender.host || loan.At(now).burst <= 0) continue;
-    return loan.until() - now < (loan.until() - loan.since) / 2 &&
-           now - lender.last_request >= kRenewInterval;
+    if (loan.lender == lender) return &loan;
   }
-  return false;
+  return nullptr;
 }
 
 }  // namespace
 
+bool RateLimiter::Impl::IsRenewalDue(const OrganisationState& org,
+                                     const Lender& lender, Instant now) const {
+  const BorrowedQuota* loan = FindLoan(org.account, lender.host);
+  if (loan == nullptr || loan->At(now).burst <= 0) return false;
+  const Duration term = loan->until() - loan->since;
+  if (term <= SpotTerm()) return false;
+  const std::chrono::duration<double> left = loan->until() - now;
+  return left < term * kRenewalShare &&
+         now - lender.last_request >= kRenewInterval;
+}
+
+bool RateLimiter::Impl::EndsSoon(const OrganisationState& org,
+                                 const Lender& lender, Instant now) const {
+  const BorrowedQuota* loan = FindLoan(org.account, lender.host);
+  return loan == nullptr || loan->until() - now <= SpotTerm();
+}
+
 double RateLimiter::Impl::RateToBorrow(const OrganisationState& org,
                                        const BorrowingNeeds& needs) {
   const double own = org.account.own().rate - org.account.own_lent().rate;
@@ -122,35 +141,24 @@
 void RateLimiter::Impl::FindLenders(OrganisationState& org) {
   if (org.lenders_known) return;
   org.lenders_known = true;
-  std::vector<Lender> found;
-  const auto add = [&](FailureDomainId domain, const std::vector<HostId>& of) {
-    const double share = owners.ShareOfOwner(domain);
-    for (const HostId host : of) {
-      if (host == init.self) continue;
-      Lender lender;
-      lender.host = host;
-      lender.assigned = {org.total.rate * share, org.total.burst * share};
-      found.push_back(lender);
-    }
-  };
-  add(init.failure_domain, org.local_owners);
-  if (org.is_owner) {
-    for (const FailureDomainId domain : owners.domains()) {
-      if (domain == init.failure_domain) continue;
-      add(domain, owners.Find(org.id, domain));
-    }
+  org.lenders.clear();
+  const OwnerGroupId own_group = owners.GroupOf(init.failure_domain);
+  for (const HostId host : owners.FindAll(org.id)) {
+    if (host == init.self) continue;
+    const OwnerGroupId group = owners.GroupOf(host);
+    const double share = owners.ShareOfOwner(group);
+    Lender lender;
+    lender.host = host;
+    lender.assigned = {org.total.rate * share, org.total.burst * share};
+    lender.is_local = group == own_group;
+    org.lenders.push_back(lender);
   }
-  std::sort(found.begin(), found.end(), [&](const auto& a, const auto& b) {
-    return RankOf(org, a.host) < RankOf(org, b.host);
-  });
-  org.lenders = std::move(found);
 }
 
 void RateLimiter::Impl::DetectUnresponsiveLenders(OrganisationState& org,
-                                                  Instant now) const {
+                                                  Instant now) {
   for (Lender& lender : org.lenders) {
-    const bool is_local = IsLocalOwner(org, lender.host);
-    const Duration limit = is_local && lender.unanswered > 0
+    const Duration limit = lender.is_local && lender.unanswered > 0
                                ? kLocalAnswerTimeout
                                : kAnswerTimeout;
     if (now - lender.last_request > limit) lender.tokens_in_flight = 0;
@@ -162,29 +170,30 @@
   }
 }
 
-// Hosts borrow from the best ranked responsive owner of their failure domain.
-// These owners borrow from the best ranked owner of all. That keeps the tokens
-// in one place, where every host can get them, instead of in small parts
-// everywhere.
+// All hosts borrow from the best ranked owner, which borrows from the other
+// owners. That keeps the tokens in one place, where every host can get them,
+// instead of in small parts everywhere. If it does not respond, the next one
+// near by takes its place, as a partition may separate this host from all
+// others.
 Lender* RateLimiter::Impl::PrimaryLender(OrganisationState& org, Instant now) {
   Lender* best = nullptr;
   for (Lender& lender : org.lenders) {
-    if (org.is_owner && RankOf(org, lender.host) > RankOf(org, init.self)) {
+    if (org.is_owner && QuotaOwners::RankOf(org.id, lender.host) >
+                            QuotaOwners::RankOf(org.id, init.self)) {
       break;
     }
     if (lender.unresponsive_until > now) continue;
-    if (IsLocalOwner(org, lender.host)) return &lender;
+    const bool is_first = &lender == &org.lenders.front();
+    if (is_first || lender.is_local) return &lender;
     if (best == nullptr) best = &lender;
   }
   if (best != nullptr || org.is_owner) return best;
   return &org.lenders.front();
 }
 
-bool RateLimiter::Impl::CountsAsDemand(const LentQuota& lent,
-                                       bool is_primary) const {
+bool RateLimiter::Impl::CountsAsDemand(const LentQuota& lent, bool is_primary) {
   if (!lent.may_relend) return false;
-  if (is_primary || lent.want.rate > 0) return true;
-  return owners.DomainOf(lent.borrower) == init.failure_domain;
+  return is_primary || lent.want.rate > 0 || !lent.is_owner;
 }
 
 RateLimiter::Impl::BorrowingNeeds RateLimiter::Impl::ComputeNeeds(
@@ -207,12 +216,15 @@
         std::min(needs.reserve, needs.demand * kOwnerReserveSeconds);
   }
   if (needs.reserve < kMinReserveTokens) needs.reserve = 0;
+  needs.spot = needs.reserve <= 0 && !org.is_owner;
 
   double available = account.tokens();
   for (const Lender& lender : org.lenders) available += lender.tokens_in_flight;
   const double low =
       needs.reserve > 0 ? std::max(kLowReserveShare * needs.reserve, 1.0) : 0;
-  needs.urgent = wanted > available;
+  // Tokens on their way must not be given back as long as requests need them.
+  needs.idle = needs.demand < kIdleRate && wanted <= 0;
+  needs.urgent = wanted > available + kRoundingTolerance;
   if (needs.urgent || available < low) {
     needs.tokens = wanted + low + needs.reserve - available;
   }
@@ -227,7 +239,7 @@
   Lender* primary = PrimaryLender(org, now);
   const bool is_primary = primary == nullptr;
   const BorrowingNeeds needs = ComputeNeeds(org, is_primary, now);
-  if (needs.demand < kIdleRate && !needs.urgent) {
+  if (needs.idle) {
     ReturnLoansOf(org, now);
   } else if (is_primary) {
     BorrowFromAll(org, needs, now);
@@ -245,7 +257,7 @@
       start || needs.demand > kBorrowFromAllBelow * org.total.rate;
   for (Lender& lender : org.lenders) {
     const Quota level = org.account.BorrowedFrom(lender.host);
-    const bool renew = IsRenewalDue(org.account, lender, now);
+    const bool renew = IsRenewalDue(org, lender, now);
     if (renew && !keep) {
       ReturnLoan(org, lender, now);
       continue;
@@ -257,7 +269,8 @@
         start && is_part && now - lender.last_request >= kRateRequestInterval;
     if (!renew && !more) continue;
     const double need = std::max(0.0, lender.assigned.burst - level.burst);
-    QueueRequest(org, lender, level, 0, {lender.assigned.rate, 0}, need, now);
+    RequestRateAndTokens(org, lender, level, 0, {lender.assigned.rate, 0}, need,
+                         now);
   }
 }
 
@@ -276,32 +289,52 @@
        needs.tokens > primary.assigned.burst / 2);
   if (needs.urgent && primary_lacks_tokens) RequestFromAll(org, needs, now);
   for (Lender& lender : org.lenders) {
-    if (&lender != &primary && IsRenewalDue(account, lender, now)) {
+    if (&lender != &primary && IsRenewalDue(org, lender, now)) {
       ReturnLoan(org, lender, now);
     }
   }
+  // The lender takes no tokens back together with burst that a grant on its way
+  // includes.
+  const bool grant_due = primary.tokens_in_flight > 0;
+  if (needs.spot && rate <= 0) {
+    if (need > 0) {
+      RequestSpotTokens(org, primary, need, now);
+    } else if (org.waiting == 0 && !grant_due &&
+               account.tokens() >= 1 - kRoundingTolerance) {
+      // Granted twice, or for requests that no longer wait.
+      ReturnLoansOf(org, now);
+    }
+    return;
+  }
   const Quota level = account.BorrowedFrom(primary.host);
   const Duration since = now - primary.last_request;
-  const bool renew = IsRenewalDue(account, primary, now);
+  const bool renew = IsRenewalDue(org, primary, now);
   const bool raise = rate > level.rate * 1.1 + 0.01 * org.total.rate &&
                      since >= kRateRequestInterval;
   const double unused = UnusedBurst(org);
   const double freed = std::min(unused, level.burst);
-  const double kept_rate = std::min(level.rate, rate);
+  // What a full bucket generates is lost. Traffic that has left this host shows
+  // so before it shows in the demand.
+  const bool overflows =
+      level.rate > 0 && account.tokens() >= account.held().burst - 1;
+  const double kept_rate =
+      std::min(level.rate * (overflows ? kOverflowRateShare : 1), rate);
+  const double most = 1.5 * std::max(needs.reserve, 1.0);
+  const double surplus =
+      std::clamp(account.tokens() - most, 0.0, level.burst - freed);
+  const Quota kept = {kept_rate, level.burst - freed - surplus};
   if (need <= 0 && !renew && !raise) {
     const double least = std::max(
         needs.reserve, std::min(2.0, kMinReturnShare * org.total.burst));
-    if (since >= ReturnInterval(org.total) && freed > least) {
-      QueueReturn(org, primary, {kept_rate, level.burst - unused}, 0, now);
+    const bool returns = since >= ReturnInterval(org.total) &&
+                         (freed + surplus > least || overflows);
+    if (returns && !grant_due && !EndsSoon(org, primary, now)) {
+      QueueReturn(org, primary, kept, surplus, now);
     }
     return;
   }
-  const double most = 1.5 * std::max(needs.reserve, 1.0);
-  const double surplus =
-      renew ? std::clamp(account.tokens() - most, 0.0, level.burst - freed) : 0;
   const double room = rate > 0 ? rate * HeadroomSeconds(org.total) : 0;
-  QueueRequest(org, primary, {kept_rate, level.burst - freed - surplus},
-               surplus, {rate, room}, need, now);
+  RequestRateAndTokens(org, primary, kept, surplus, {rate, room}, need, now);
 }
 
 // Used when it is not known which owners have tokens: the primary has not
@@ -311,8 +344,10 @@
                                        Instant now) {
   const auto count = static_cast<double>(org.lenders.size());
   const Lender* primary = PrimaryLender(org, now);
-  const bool is_late = primary->unanswered > 0 &&
-                       now - primary->unanswered_since > kLocalAnswerTimeout;
+  const bool is_late =
+      primary->unanswered > 0 &&
+      now - primary->unanswered_since >
+          (primary->is_local ? kLocalAnswerTimeout : kAnswerTimeout);
   if (!org.is_owner && !is_late) return;
   for (Lender& lender : org.lenders) {
     if (&lender == primary || lender.unresponsive_until > now) continue;
@@ -324,27 +359,48 @@
         !NeedHasGrown(lender, need, now)) {
       continue;
     }
+    if (needs.spot) {
+      RequestSpotTokens(org, lender, need, now);
+      continue;
+    }
     const Quota level = org.account.BorrowedFrom(lender.host);
-    QueueRequest(org, lender, level, 0, {level.rate, 0}, need, now);
+    RequestRateAndTokens(org, lender, level, 0, {level.rate, 0}, need, now);
   }
 }
 
-void RateLimiter::Impl::QueueRequest(OrganisationState& org, Lender& lender,
-                                     Quota keep, double returned,
-                                     Quota want_more, double need,
-                                     Instant now) {
+void RateLimiter::Impl::RequestRateAndTokens(OrganisationState& org,
+                                             Lender& lender, Quota keep,
+                                             double returned, Quota want_more,
+                                             double need, Instant now) {
   LoanAsk ask = org.account.ReduceAndReport(lender.host, keep, returned);
-  ask.organisation = org.id;
   const Quota held = org.account.BorrowedFrom(lender.host);
   ask.want = {std::max(want_more.rate, held.rate),
               held.burst + need + want_more.burst};
   ask.need = need;
+  QueueRequest(org, lender, std::move(ask), now);
+}
+
+// Gives back all that is not needed for tokens, so that nothing is left to be
+// returned later.
+void RateLimiter::Impl::RequestSpotTokens(OrganisationState& org,
+                                          Lender& lender, double need,
+                                          Instant now) {
+  const Quota level = org.account.BorrowedFrom(lender.host);
+  const Quota keep = {0, std::max(0.0, level.burst - UnusedBurst(org))};
+  LoanAsk ask = org.account.ReduceAndReport(lender.host, keep, 0);
+  ask.need = need;
+  QueueRequest(org, lender, std::move(ask), now);
+}
+
+void RateLimiter::Impl::QueueRequest(OrganisationState& org, Lender& lender,
+                                     LoanAsk ask, Instant now) {
   if (lender.unanswered == 0) lender.unanswered_since = now;
   ++lender.unanswered;
   lender.last_request = now;
-  lender.tokens_in_flight += need;
-  lender.last_need = need;
-  pending_asks[lender.host].push_back(ask);
+  lender.tokens_in_flight += ask.need;
+  lender.last_need = ask.need;
+  ask.organisation = org.id;
+  pending_asks[lender.host].push_back(std::move(ask));
 }
 
 void RateLimiter::Impl::ReturnLoan(OrganisationState& org, Lender& lender,
@@ -370,20 +426,26 @@
   for (Lender& lender : org.lenders) ReturnLoan(org, lender, now);
 }
 
+const RateLimiter::Impl::SentRequest* RateLimiter::Impl::FindSentRequest(
+    HostId to, std::uint32_t number) const {
+  const auto list = sent_requests.find(to);
+  if (list == sent_requests.end()) return nullptr;
+  const auto it = std::find_if(
+      list->second.begin(), list->second.end(),
+      [number](const SentRequest& each) { return each.number == number; });
+  return it == list->second.end() ? nullptr : &*it;
+}
+
 bool RateLimiter::Impl::OnGrant(HostId from, const LoanGrant& grant,
                                 Instant now) {
-  const auto& list = sent_requests[from];
-  const auto it =
-      std::find_if(list.begin(), list.end(), [&](const SentRequest& request) {
-        return request.number == grant.number;
-      });
-  if (grant.borrower != init.incarnation || it == list.end()) {
+  const SentRequest* request = FindSentRequest(from, grant.number);
+  if (grant.borrower != init.incarnation || request == nullptr) {
     ++stats.messages_ignored;
     return false;
   }
   bool more = false;
   for (const Loan& loan : grant.loans) {
-    if (AcceptLoan(from, grant.number, it->at, loan, now)) more = true;
+    if (AcceptLoan(from, grant.number, request->at, loan, now)) more = true;
   }
   return more;
 }
--- a/src/rate_lender.cpp
+++ b/src/rate_lender.cpp
@@ -9,12 +9,10 @@
 // The lender's clock may run 1% faster than the borrower's.
 constexpr double kMaxClockSpeedRatio = 1.01;
 constexpr Duration kExpiryMargin = std::chrono::milliseconds(50);
+// Burst that is lent collects no tokens, and a small organisation has little.
+constexpr Duration kSpotExpiryMargin = std::chrono::milliseconds(10);
 // A shorter loan would end before the borrower can renew it.
 constexpr Duration kShortestTerm = std::chrono::milliseconds(200);
-// Requested tokens are granted late for as long as a client request may wait
-// for them.
-constexpr Duration kUnmetTokensLifetime = std::chrono::milliseconds(40);
-
 // Part of the burst that is kept along with the rate that is not lent.
 constexpr double kKeptBurstShare = 0.3;
 
@@ -32,6 +30,11 @@
          });
 }
 
+// The borrower has no use for quota beyond the tokens that it needs.
+bool WantsTokensOnly(const LentQuota& lent) {
+  return lent.want.rate <= 0 && lent.want.burst <= 0;
+}
+
 // Max-min fair level f: the sum of min(demand, f) over all demands is
 // `capacity`. Returns `capacity` if it covers all demands.
 double MaxMinLevel(std::vector<double> demands, double capacity) {
@@ -47,27 +50,19 @@
 
 }  // namespace
 
-std::uint64_t RateLimiter::Impl::RankOf(const OrganisationState& org,
-                                        HostId owner) const {
-  return CombineHash(org.id.value(), owner.value());
-}
-
-bool RateLimiter::Impl::IsLocalOwner(const OrganisationState& org,
-                                     HostId host) const {
-  const auto& here = org.local_owners;
-  return std::find(here.begin(), here.end(), host) != here.end();
+bool RateLimiter::Impl::IsOwner(OrganisationState& org, HostId host) {
+  FindLenders(org);
+  return std::any_of(org.lenders.begin(), org.lenders.end(),
+                     [host](const Lender& each) { return each.host == host; });
 }
 
 // Borrowed quota is lent only from better to worse ranked owners, and last to
 // hosts that own nothing. So it never returns to a host that it came from.
-bool RateLimiter::Impl::MayRelendTo(const OrganisationState& org,
-                                    HostId borrower) const {
+bool RateLimiter::Impl::MayRelendTo(OrganisationState& org, HostId borrower) {
   if (!org.is_owner) return false;
-  if (owners.DomainOf(borrower) == init.failure_domain &&
-      !IsLocalOwner(org, borrower)) {
-    return true;
-  }
-  return RankOf(org, init.self) < RankOf(org, borrower);
+  if (!IsOwner(org, borrower)) return true;
+  return QuotaOwners::RankOf(org.id, init.self) <
+         QuotaOwners::RankOf(org.id, borrower);
 }
 
 LentQuota* RateLimiter::Impl::ApplyReport(OrganisationState& org, HostId from,
@@ -81,6 +76,7 @@
     return nullptr;
   }
   lent->may_relend = MayRelendTo(org, from);
+  lent->is_owner = IsOwner(org, from);
   lent->next_part = 0;
   MarkDirty(org);
   return lent;
@@ -169,9 +165,15 @@
     room = Min(room, org.account.own() - org.account.own_lent());
   }
   const double rate = std::min(lent.want.rate, GrantableRate(org, lent, now));
-  const double tokens = std::min(
-      {lent.UnmetTokensAt(now), GrantableTokens(org, lent, now), room.burst});
-  if (!is_first_grant && tokens < std::min(1.0, lent.unmet_tokens) - 1e-9 &&
+  const double unmet = lent.UnmetTokensAt(now);
+  double tokens =
+      std::min({unmet, GrantableTokens(org, lent, now), room.burst});
+  // The borrower would lose a part of a token at the end of the loan.
+  if (WantsTokensOnly(lent) && tokens < unmet) {
+    tokens = std::floor(tokens + kRoundingTolerance);
+  }
+  if (!is_first_grant &&
+      tokens < std::min(1.0, lent.unmet_tokens) - kRoundingTolerance &&
       rate <= lent.At(now).rate * 1.1) {
     return;
   }
@@ -208,14 +210,17 @@
       account.tokens() - tokens - (account.held().burst - tokens - empty_burst);
   tokens += std::clamp(overflow, 0.0, empty_burst);
 
+  const bool is_spot = WantsTokensOnly(lent);
+  const Duration wanted_term = is_spot ? SpotTerm() : init.loan_term;
+  const Duration shortest_term = is_spot ? SpotTerm() / 2 : kShortestTerm;
+  const Duration margin = is_spot ? kSpotExpiryMargin : kExpiryMargin;
   const Instant wanted_until =
-      now + Scaled(init.loan_term, kMaxClockSpeedRatio) + kExpiryMargin;
+      now + Scaled(wanted_term, kMaxClockSpeedRatio) + margin;
   const Instant until = account.LatestSafeEnd(lent, level, wanted_until);
-  const Duration term =
-      std::min(init.loan_term,
-               Scaled(until - now - kExpiryMargin, 1 / kMaxClockSpeedRatio));
+  const Duration term = std::min(
+      wanted_term, Scaled(until - now - margin, 1 / kMaxClockSpeedRatio));
   Loan loan{org.id, {}, 0, {}, lent.next_part++};
-  if (term < kShortestTerm || lent.leases.size() >= kMaxLeasesPerLoan) {
+  if (term < shortest_term || lent.leases.size() >= kMaxLeasesPerLoan) {
     return loan;
   }
   loan.quota = level;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -245,10 +245,11 @@
 
   QuotaOwners owners;
   owners.Apply(*merged);
-  const auto found = owners.Find(OrganisationId::FromName("coopers"),
-                                 FailureDomainId::FromName("mb-1"));
+  const OwnerGroupId group = owners.GroupOf(lapsed);
+  BOOST_TEST((group == owners.GroupOf(FailureDomainId::FromName("mb-1"))));
+  const auto found = owners.Find(OrganisationId::FromName("coopers"), group);
   BOOST_TEST(std::count(found.begin(), found.end(), lapsed) == 1);
-  BOOST_TEST((owners.DomainOf(lapsed) == FailureDomainId::FromName("mb-1")));
+  BOOST_TEST(group.valid());
 }
 
 // Guards against refusals within rate because quotas move when registrations
--- a/tests/matrix/node.cpp
+++ b/tests/matrix/node.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kConnectTime = std::chrono::microseconds(100);
 constexpr Duration kServiceTime = std::chrono::milliseconds(20);
 constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr Duration kProbeInterval = std::chrono::seconds(1);
 
 DaemonInit InitOf(const std::string& name, const std::string& domain,
                   std::uint64_t incarnation) {
@@ -107,9 +108,19 @@
   // In the product, digests and the watch of the platform compare versions.
   if (!world_.IsCut(name_, "one")) state_->rate.RecordContact(now, now);
   SendLoans();
+  if (now >= next_probe_) ProbeHosts(now);
   time_.At(now + kTick, [this] { Tick(); });
 }
 
+// As the data loop of the product does.
+void Node::ProbeHosts(Instant now) {
+  next_probe_ = now + kProbeInterval;
+  if (!state_->configuration || state_->draining) return;
+  for (const auto& [id, host] : state_->configuration->hosts) {
+    if (id != id_ && state_->membership.ShouldProbe(id, now)) Connect(id);
+  }
+}
+
 void Node::SendLoans() {
   for (auto& loan : state_->rate.Tick(time_.Now())) {
     std::visit(
--- a/tests/matrix/world.h
+++ b/tests/matrix/world.h
@@ -94,6 +94,7 @@
   void CallOnward(Handle handle);
   void Answer(Handle handle, HttpResponse response);
   void Tick();
+  void ProbeHosts(Instant now);
 
   World& world_;
   std::string name_;
@@ -111,6 +112,7 @@
   std::map<Handle, Exchange> exchanges_;
   std::map<std::uint64_t, Handle> onward_exchanges_;
   std::uint64_t last_handle_ = 0;
+  Instant next_probe_{};
 };
 
 /// A fault and the step at which it strikes.
--- a/tests/rate_book_test.cpp
+++ b/tests/rate_book_test.cpp
@@ -45,9 +45,12 @@
       fleet.SetLoss(*rc::gen::element(0.0, 0.1, 0.5));
       break;
     default:
-      fleet.Publish([count = *rc::gen::inRange(1, 4)](Configuration& next) {
-        next.rate_owners_per_domain = count;
-      });
+      fleet.Publish(
+          [count = *rc::gen::inRange(1, 4),
+           by_domain = *rc::gen::arbitrary<bool>()](Configuration& next) {
+            next.rate_owners_per_region = count;
+            next.rate_owners_per_domain = by_domain ? count : 0;
+          });
   }
 }
 
--- a/tools/rate_compare/rate_fleet.cpp
+++ b/tools/rate_compare/rate_fleet.cpp
@@ -16,27 +16,35 @@
 constexpr std::uint64_t kAskBytes = 60;
 constexpr std::uint64_t kLoanBytes = 40;
 
-struct WireSize {
+struct EntryCount {
   std::uint64_t operator()(const LoanRequest& message) const {
-    return kEnvelopeBytes + kAskBytes * message.asks.size();
+    return message.asks.size();
   }
   std::uint64_t operator()(const LoanGrant& message) const {
-    return kEnvelopeBytes + kLoanBytes * message.loans.size();
+    return message.loans.size();
   }
   std::uint64_t operator()(const LoanReturn& message) const {
-    return kEnvelopeBytes + kAskBytes * message.asks.size();
+    return message.asks.size();
   }
 };
 
+std::uint64_t WireSize(const RateLimiter::Outgoing& outgoing) {
+  const bool is_grant = std::holds_alternative<LoanGrant>(outgoing.message);
+  return kEnvelopeBytes + std::visit(EntryCount{}, outgoing.message) *
+                              (is_grant ? kLoanBytes : kAskBytes);
+}
+
 std::shared_ptr<Configuration> MakeConfiguration(
     const SimulatedRateFleet::Options& options) {
   auto configuration = std::make_shared<Configuration>();
   configuration->version = Version(1);
-  configuration->rate_owners_per_domain = options.owners_per_domain;
+  configuration->rate_owners_per_region = options.owners_per_region;
   for (int d = 0; d < options.domains; ++d) {
     const std::string name = "domain-" + std::to_string(d);
     const auto domain = FailureDomainId::FromName(name);
-    configuration->failure_domains[domain] = {domain, name, "",
+    const std::string region =
+        "region-" + std::to_string(d / options.domains_per_region);
+    configuration->failure_domains[domain] = {domain, name, region,
                                               1.0 / options.domains};
     for (int h = 0; h < options.hosts_per_domain; ++h) {
       const int number = d * options.hosts_per_domain + h;
@@ -100,7 +108,7 @@
   owners.Apply(*configuration_);
   const HostId id = hosts_[static_cast<std::size_t>(host)].id;
   const auto list =
-      owners.Find(organisation(organisation_index), owners.DomainOf(id));
+      owners.Find(organisation(organisation_index), owners.GroupOf(id));
   return std::find(list.begin(), list.end(), id) != list.end();
 }
 
@@ -131,6 +139,9 @@
   init.failure_domain =
       FailureDomainId::FromName("domain-" + std::to_string(DomainOf(index)));
   init.incarnation = Incarnation(random_() | 1);
+  init.loan_term = options_.loan_term;
+  init.handover = options_.handover;
+  init.longest_wait = options_.longest_wait;
   auto limiter = RateLimiter::Create(init);
   if (!limiter) throw std::logic_error("RateLimiter::Create failed");
   host.limiter.emplace(std::move(*limiter));
@@ -190,12 +201,9 @@
 
 Duration SimulatedRateFleet::Delay(int from, int to) {
   Duration delay = options_.delay_in_domain;
-  const int a = DomainOf(from);
-  const int b = DomainOf(to);
-  if (a != b) {
-    const int size = options_.domains_per_region;
-    delay = a / size == b / size ? options_.delay_in_region
-                                 : options_.delay_between_regions;
+  if (DomainOf(from) != DomainOf(to)) {
+    delay = RegionOf(from) == RegionOf(to) ? options_.delay_in_region
+                                           : options_.delay_between_regions;
   }
   const auto jitter = static_cast<double>(options_.jitter.count());
   return delay + Duration(static_cast<std::int64_t>(jitter * Uniform()));
@@ -206,13 +214,22 @@
          side_[static_cast<std::size_t>(to)];
 }
 
+void SimulatedRateFleet::CountTraffic(int from, int to,
+                                      const RateLimiter::Outgoing& message) {
+  const std::uint64_t size = WireSize(message);
+  hosts_[static_cast<std::size_t>(from)].bytes += size;
+  Traffic& traffic = traffic_[message.message.index()];
+  ++traffic.messages;
+  traffic.entries += std::visit(EntryCount{}, message.message);
+  traffic.bytes += size;
+  if (RegionOf(from) != RegionOf(to)) traffic.bytes_between_regions += size;
+}
+
 void SimulatedRateFleet::Send(int from, RateLimiter::Outgoing message) {
   const auto it = index_.find(message.to);
   if (it == index_.end()) return;
   const int to = it->second;
-  ++messages_;
-  hosts_[static_cast<std::size_t>(from)].bytes +=
-      std::visit(WireSize{}, message.message);
+  CountTraffic(from, to, message);
   if (!Reachable(from, to) || Uniform() < options_.loss) return;
   const int copies = Uniform() < options_.duplicate ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
@@ -332,7 +349,13 @@
 void SimulatedRateFleet::ResetCounts() {
   for (Organisation& org : organisations_) org.count = {};
   for (Host& host : hosts_) host.bytes = 0;
-  messages_ = 0;
+  traffic_ = {};
+}
+
+std::uint64_t SimulatedRateFleet::messages() const {
+  std::uint64_t sum = 0;
+  for (const Traffic& traffic : traffic_) sum += traffic.messages;
+  return sum;
 }
 
 std::uint64_t SimulatedRateFleet::TotalBytes() const {
--- a/tools/rate_compare/rate_fleet.h
+++ b/tools/rate_compare/rate_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -39,17 +40,27 @@
     int domains = 6;
     int hosts_per_domain = 4;
     int domains_per_region = 2;
-    int owners_per_domain = 2;
+    int owners_per_region = 2;
     std::vector<Quota> organisations;  ///< Default: one of rate 200, burst 100.
     Duration delay_in_domain = std::chrono::microseconds(250);
     Duration delay_in_region = std::chrono::microseconds(500);
     Duration delay_between_regions = std::chrono::milliseconds(8);
     Duration tick = std::chrono::milliseconds(20);
+    Duration loan_term = RateLimiter::Init{}.loan_term;
+    Duration handover = RateLimiter::Init{}.handover;
+    Duration longest_wait = RateLimiter::Init{}.longest_wait;
     double loss = 0;       ///< Probability per message, 0 to 1.
     double duplicate = 0;  ///< Probability per message, 0 to 1.
     Duration jitter{};     ///< Maximum extra delay; reorders messages.
     std::uint64_t seed = 1;
   };
+  /// Messages of one kind, with estimated bytes on the wire.
+  struct Traffic {
+    std::uint64_t messages = 0;
+    std::uint64_t entries = 0;  ///< Organisations in the messages.
+    std::uint64_t bytes = 0;
+    std::uint64_t bytes_between_regions = 0;
+  };
   struct Count {
     std::uint64_t offered = 0;
     std::uint64_t within = 0;  ///< Admitted by `ReferenceBucket`.
@@ -64,6 +75,9 @@
   Instant now() const { return now_; }
   int hosts() const { return static_cast<int>(hosts_.size()); }
   int DomainOf(int host) const { return host / options_.hosts_per_domain; }
+  int RegionOf(int host) const {
+    return DomainOf(host) / options_.domains_per_region;
+  }
   OrganisationId organisation(int index) const;
   /// True if the host owns part of the organisation's quota.
   bool IsOwner(int host, int organisation) const;
@@ -91,7 +105,9 @@
   const Count& count(int organisation) const;
   /// Clears all counts, to exclude the start from a measurement.
   void ResetCounts();
-  std::uint64_t messages() const { return messages_; }
+  std::uint64_t messages() const;
+  /// Indexed by the alternative of `RateLimiter::Outgoing::message`.
+  const std::array<Traffic, 3>& traffic() const { return traffic_; }
   /// Estimated bytes sent since `ResetCounts` by the host that sent most.
   std::uint64_t MaxBytesPerHost() const;
   /// Estimated bytes sent by all hosts since `ResetCounts`.
@@ -134,6 +150,7 @@
   void Tick(int host);
   void ScheduleTick(int host, std::uint64_t process);
   void ScheduleContact(int host, std::uint64_t process);
+  void CountTraffic(int from, int to, const RateLimiter::Outgoing& message);
   void Send(int from, RateLimiter::Outgoing message);
   void Deliver(int from, int to, const RateLimiter::Outgoing& message);
   void Retry(int host);
@@ -154,7 +171,7 @@
   std::map<HostId, int> index_;
   std::vector<bool> side_;
   std::vector<Organisation> organisations_;
-  std::uint64_t messages_ = 0;
+  std::array<Traffic, 3> traffic_;
   std::uint64_t requests_ = 0;
 };
 
