Keep quotas in force on a host without a peer in its failure domain

Cause: only links within the failure domain are pinged in each contact interval. Change: without a link within the failure domain all links are pinged in each contact interval. Test: quotas_stay_in_force_with_peers_in_other_domains.

--- a/src/peer_links.h
+++ b/src/peer_links.h
@@ -28,7 +28,8 @@
     Duration heartbeat_busy = std::chrono::milliseconds(100);
     Duration heartbeat_idle = std::chrono::seconds(2);
     /// Longest time between two pings of links whose answers count as contact:
-    /// those within the own failure domain, and those that are busy.
+    /// those within the own failure domain, or all if none of those is up, and
+    /// those that are busy.
     Duration contact_interval = std::chrono::seconds(1);
     Duration dead_busy = std::chrono::milliseconds(300);
     /// Time in which the largest message arrives on a busy link.
--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -385,6 +385,10 @@
       if (paused) link.heard = now;
       ids.push_back(id);
     }
+    has_near_link =
+        std::any_of(links.begin(), links.end(), [this](const auto& entry) {
+          return entry.second.up && IsNear(entry.second.peer);
+        });
     for (const SocketId id : ids) Check(id, now);
     Redial(now);
   }
@@ -425,11 +429,16 @@
            transport.SinceLastByte(id) > init.dead_busy;
   }
 
+  bool IsNear(const Peer& peer) const {
+    return peer.failure_domain == init.failure_domain;
+  }
+
   /// Any message tells as much as an answer to a ping, but for two things: when
-  /// the peer was last in contact, and whether this side is heard, too.
+  /// the peer was last in contact, and whether this side is heard, too. Contact
+  /// comes from links within the failure domain, or from all if there is none.
   bool IsPingDue(const Link& link, bool busy, Instant now) const {
-    const bool near = link.peer.failure_domain == init.failure_domain;
-    if ((near || busy) && now - link.pinged >= init.contact_interval) {
+    const bool gives_contact = IsNear(link.peer) || !has_near_link;
+    if ((gives_contact || busy) && now - link.pinged >= init.contact_interval) {
       return true;
     }
     const Duration silence = busy ? init.heartbeat_busy : init.heartbeat_idle;
@@ -453,6 +462,8 @@
   Instant last_tick = steady_clock::now();
   PeerLinkStats stats;
   bool stopping = false;
+  /// A link within the failure domain is up, as of `last_tick`.
+  bool has_near_link = false;
   PeerTransport transport;
 };
 
--- a/tests/daemon/rate_contact_test.cpp
+++ b/tests/daemon/rate_contact_test.cpp
@@ -10,7 +10,7 @@
 // peer is there all the time: callers within rate are then refused. The
 // platform gives no contact: an unchanged watch began longer ago than half of
 // the handover.
-BOOST_AUTO_TEST_CASE(quotas_stay_in_force_while_a_peer_is_there) {
+void CheckQuotasStayInForce(const std::string& second_domain) {
   Fleet fleet;
   // The shortest that the settings allow.
   const auto shortest = [](DaemonInit& init) {
@@ -18,7 +18,7 @@
     init.rate_handover = std::chrono::seconds(2);
   };
   fleet.AddHost("one", "domain-1", {}, shortest);
-  fleet.AddHost("two", "domain-1", {}, shortest);
+  fleet.AddHost("two", second_domain, {}, shortest);
   fleet.Start();
   // Contact is scarce while the daemons find each other.
   std::this_thread::sleep_for(std::chrono::seconds(1));
@@ -34,5 +34,14 @@
   BOOST_TEST(suspensions("two") <= two + 1);
 }
 
+BOOST_AUTO_TEST_CASE(quotas_stay_in_force_while_a_peer_is_there) {
+  CheckQuotasStayInForce("domain-1");
+}
+
+// The same for a host that is alone in its failure domain.
+BOOST_AUTO_TEST_CASE(quotas_stay_in_force_with_peers_in_other_domains) {
+  CheckQuotasStayInForce("domain-2");
+}
+
 }  // namespace
 }  // namespace lentilcross::testing
