Survive malformed deltas and unexpected errors

Cause: a delta to a process without a configuration whose base is version 0 was applied to a null document, so that one message of a faulty peer ended the process. An exception in any handler of the threads `data` and `control` ended it, too. A handler that throws ends alone, with the log event `unexpected-error`; timers are started again before their work, so that none is lost with it.

--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <optional>
 #include <utility>
 
 #include "duration_text.h"
+#include "guarded_run.h"
 #include "lentilcross/spread.h"
 #include "platform_client.h"
 
@@ -368,8 +370,8 @@
     timer.expires_after(kTick);
     timer.async_wait([this](boost::system::error_code error) {
       if (error) return;
-      OnTick();
       StartTimer();
+      OnTick();
     });
   }
 
@@ -418,9 +420,9 @@
 
 void ControlLoop::Run(Ring<ToData>& out) {
   impl_->out = &out;
-  impl_->OnTick();
+  boost::asio::post(impl_->io, [this] { impl_->OnTick(); });
   impl_->StartTimer();
-  impl_->io.run();
+  RunGuarded(impl_->io, "control", impl_->init.on_log);
 }
 
 void ControlLoop::Stop() { impl_->io.stop(); }
--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -9,6 +9,7 @@
 #include "asio_scheduler.h"
 #include "data_state.h"
 #include "drain.h"
+#include "guarded_run.h"
 #include "http_front.h"
 #include "onward_pipeline.h"
 #include "outgoing_calls.h"
@@ -339,9 +340,9 @@
     rate_timer.expires_after(kRateInterval);
     rate_timer.async_wait([this](boost::system::error_code error) {
       if (error) return;
+      StartRateTimer();
       state.pauses.Tick(steady_clock::now());
       SendLoans();
-      StartRateTimer();
     });
   }
 
@@ -349,8 +350,8 @@
     maintenance_timer.expires_after(kMaintenanceInterval);
     maintenance_timer.async_wait([this](boost::system::error_code error) {
       if (error) return;
-      OnMaintenanceTimer();
       StartMaintenanceTimer();
+      OnMaintenanceTimer();
     });
   }
 
@@ -464,7 +465,7 @@
   impl_->out = &out;
   impl_->StartRateTimer();
   impl_->StartMaintenanceTimer();
-  impl_->io.run();
+  RunGuarded(impl_->io, "data", impl_->init.on_log);
   return impl_->exit_status;
 }
 
--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -369,8 +369,8 @@
     timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
       auto self = weak.lock();
       if (ec || !self) return;
-      self->OnTick();
       self->StartTimer();
+      self->OnTick();
     });
   }
 
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -230,7 +230,9 @@
     ++stats_.ignored_older;
     return {};
   }
-  if (delta.from != version) return RequestUpdate(from, version, now);
+  if (delta.from != version || !history_.current()) {
+    return RequestUpdate(from, version, now);
+  }
   if (delta.to == rejected_version_ && now < rejected_until_) return {};
   Findings findings;
   DocumentPointer document =
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -306,6 +306,20 @@
   BOOST_TEST(pair.fresh().stats().ignored_older == 1);
 }
 
+// Guards against a process that ends because a faulty peer sends it a delta to
+// the configuration that it does not have yet.
+BOOST_AUTO_TEST_CASE(delta_without_a_base_is_replaced_by_a_snapshot) {
+  PeerPair pair;
+  pair.Publish(1);
+  ConfigDelta delta;
+  delta.to = Version(1);
+  nlohmann::json::to_cbor(nlohmann::json::array(), delta.entries);
+  const auto replies = pair.ToFresh(delta);
+  BOOST_TEST(pair.fresh().current() == nullptr);
+  BOOST_REQUIRE(replies.size() == 1);
+  BOOST_TEST(!std::get<ConfigRequest>(replies[0].message).have.valid());
+}
+
 // Guards against an unbounded delta history, and against a peer that is older
 // than the history and gets no reply.
 BOOST_AUTO_TEST_CASE(a_peer_far_behind_gets_a_snapshot) {
