Wait on a silent link for answers that nothing else can bring

Cause: a link with a call outstanding was closed after 300 ms of silence. A host that was only slow or paused for longer had its running bookings given up with an unknown outcome, although they ended well. Change: a silent link takes no new calls. Calls that can be sent elsewhere leave it and are cancelled at the peer; for the others it is kept for 2 s more, and for as long as they run once the peer is heard again. Tests: booking_outlives_a_slow_link.

--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -119,6 +119,7 @@
                               PeerMessage&& message) {
       OnPeerMessage(peer, std::move(message));
     };
+    hooks.on_silent = [this](const PeerLinks::Peer& peer) { OnSilent(peer); };
     hooks.on_down = [this](const PeerLinks::Peer& peer,
                            PeerLinks::DownKind kind) { OnDown(peer, kind); };
     hooks.on_unreachable = [this](HostId host) {
@@ -208,6 +209,16 @@
     return true;
   }
 
+  void OnSilent(const PeerLinks::Peer& peer) {
+    outgoing.OnLinkSilent(peer.link);
+    if (links.Find(peer.host) == 0) OnHostLost(peer.host);
+  }
+
+  void OnHostLost(HostId host) {
+    state.membership.OnLinkDead(host, steady_clock::now());
+    SendMemberEvent(MemberEvent::Kind::kLinkDead, host);
+  }
+
   void OnDown(const PeerLinks::Peer& peer, PeerLinks::DownKind kind) {
     outgoing.OnLinkDown(peer.link);
     peer_calls.OnLinkDown(peer);
@@ -216,8 +227,7 @@
     const bool left =
         member != nullptr && member->state == MemberState::kLeaving;
     if (kind == PeerLinks::DownKind::kClosed && !left) return;
-    state.membership.OnLinkDead(peer.host, steady_clock::now());
-    SendMemberEvent(MemberEvent::Kind::kLinkDead, peer.host);
+    OnHostLost(peer.host);
   }
 
   void OnPeerMessage(const PeerLinks::Peer& peer, PeerMessage&& message) {
--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -222,6 +222,20 @@
 
   void EndAttempt(const OutgoingPtr& out, Reply reply) {
     const bool cancelling = out->phase == Phase::kCancelling;
+    RecordEnd(out, reply);
+    if (cancelling && !HasTargetResponse(reply)) {
+      reply.refusal.reason = out->abort_reason;
+      Finish(out, std::move(reply));
+      return;
+    }
+    if (!MayRetry(out, reply)) {
+      Finish(out, std::move(reply));
+      return;
+    }
+    Retry(out);
+  }
+
+  void RecordEnd(const OutgoingPtr& out, const Reply& reply) {
     Detach(out);
     out->allowance.ReturnUnused(reply.extra_attempts_left,
                                 out->call.extra_attempts);
@@ -233,15 +247,9 @@
                          now - out->started, now);
     }
     out->history.Record(reply);
-    if (cancelling && !HasTargetResponse(reply)) {
-      reply.refusal.reason = out->abort_reason;
-      Finish(out, std::move(reply));
-      return;
-    }
-    if (!MayRetry(out, reply)) {
-      Finish(out, std::move(reply));
-      return;
-    }
+  }
+
+  void Retry(const OutgoingPtr& out) {
     ++state.stats.retries;
     out->history.AddRetry();
     Attempt(out);
@@ -405,17 +413,36 @@
     }
   }
 
-  void OnLinkDown(LinkId link) {
-    std::vector<OutgoingPtr> lost;
+  std::vector<OutgoingPtr> SentOver(LinkId link) const {
+    std::vector<OutgoingPtr> sent;
     for (const auto& [number, out] : by_number) {
-      if (out->link == link) lost.push_back(out);
+      if (out->link == link) sent.push_back(out);
+    }
+    return sent;
+  }
+
+  Reply MakeLinkLostReply(const OutgoingPtr& out) const {
+    Reply reply = AdjustForIssuer(
+        out, MakeUnknownOutcomeReply(out->call, Reason::kTargetFailed,
+                                     "peer link lost"));
+    reply.extra_attempts_left = 0;  // Lost with the call.
+    return reply;
+  }
+
+  void OnLinkSilent(LinkId link) {
+    for (const OutgoingPtr& out : SentOver(link)) {
+      const Reply reply = MakeLinkLostReply(out);
+      if (out->phase != Phase::kPeer || !MayRetry(out, reply)) continue;
+      // The peer stops the work if it was only slow.
+      links.SendOverLink(link, Cancel{out->call.number});
+      RecordEnd(out, reply);
+      Retry(out);
     }
-    for (const OutgoingPtr& out : lost) {
-      Reply reply = AdjustForIssuer(
-          out, MakeUnknownOutcomeReply(out->call, Reason::kTargetFailed,
-                                       "peer link lost"));
-      reply.extra_attempts_left = 0;  // Lost with the call.
-      EndAttempt(out, std::move(reply));
+  }
+
+  void OnLinkDown(LinkId link) {
+    for (const OutgoingPtr& out : SentOver(link)) {
+      EndAttempt(out, MakeLinkLostReply(out));
     }
   }
 
@@ -463,6 +490,8 @@
   impl_->OnLinkUp(host, link);
 }
 
+void OutgoingCalls::OnLinkSilent(LinkId link) { impl_->OnLinkSilent(link); }
+
 void OutgoingCalls::OnLinkDown(LinkId link) { impl_->OnLinkDown(link); }
 
 void OutgoingCalls::OnUnreachable(HostId host) { impl_->OnUnreachable(host); }
--- a/src/peer_links.h
+++ b/src/peer_links.h
@@ -38,6 +38,9 @@
     /// on a silent link is lost, so that it has to be replaced before a version
     /// would be late.
     Duration dead_idle = std::chrono::milliseconds(2700);
+    /// Time in which a link that went silent may still bring the answers to
+    /// calls that cannot be sent again. It takes no new calls.
+    Duration silent_grace = std::chrono::seconds(2);
     Duration handshake = std::chrono::seconds(1);
     Duration backoff_min = std::chrono::milliseconds(50);
     Duration backoff_max = std::chrono::seconds(2);
@@ -53,6 +56,9 @@
     /// False closes the link.
     std::function<bool(const Peer&)> on_up;
     std::function<void(const Peer&, PeerMessage&&)> on_message;
+    /// The link went silent. It is kept for `silent_grace` if requests are
+    /// still outstanding on it afterwards; `on_down` follows in any case.
+    std::function<void(const Peer&)> on_silent;
     std::function<void(const Peer&, DownKind)> on_down;
     /// A link that was being opened could not be.
     std::function<void(HostId)> on_unreachable;
--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -41,6 +41,7 @@
   Instant asked{};  ///< When a request was sent that is answered at once.
   int outstanding = 0;
   std::uint32_t pings = 0;
+  std::optional<Instant> silent_since;  ///< Kept for answers only.
 };
 
 struct Dial {
@@ -276,9 +277,7 @@
     links.erase(it);
     ++stats.closed;
     if (link.up) {
-      auto& ids = by_host[link.peer.host];
-      ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
-      if (ids.empty()) by_host.erase(link.peer.host);
+      RemoveFromHost(link.peer.host, id);
       if (kind != DownKind::kClosed) ScheduleRedial(link.peer.host);
       hooks.on_down(link.peer, kind);
     } else if (link.dialled.valid()) {
@@ -401,16 +400,9 @@
       if (now - link.opened > init.handshake) Drop(id, DownKind::kBroken);
       return;
     }
+    if (link.silent_since) return CheckSilent(id, link, now);
     const bool busy = link.outstanding > 0 || IsAsked(link);
-    if (IsSilent(id, link, busy, now)) {
-      ++stats.silent;
-      Log(LogLevel::kWarn, "peer-link-silent",
-          {{"peer", std::to_string(link.peer.host.value())},
-           {"busy", busy ? "yes" : "no"},
-           {"heard_ms", MillisecondsText(now - link.heard)}});
-      Drop(id, DownKind::kSilent);
-      return;
-    }
+    if (IsSilent(id, link, busy, now)) return OnSilent(id, link, busy, now);
     if (IsPingDue(link, busy, now)) SendPing(id, link, now);
     const bool unused = !busy && now - link.used > init.close_unused_after;
     if (unused && !link.inbound && !link.closing) {
@@ -419,6 +411,42 @@
     }
   }
 
+  /// The peer may only be slow. Calls that can be sent elsewhere leave the
+  /// link; for the others it is kept, as nothing else can bring their answers.
+  void OnSilent(SocketId id, Link& link, bool busy, Instant now) {
+    ++stats.silent;
+    Log(LogLevel::kWarn, "peer-link-silent",
+        {{"peer", std::to_string(link.peer.host.value())},
+         {"busy", busy ? "yes" : "no"},
+         {"heard_ms", MillisecondsText(now - link.heard)}});
+    link.silent_since = now;
+    const Peer peer = link.peer;
+    RemoveFromHost(peer.host, id);
+    ScheduleRedial(peer.host);
+    if (hooks.on_silent) hooks.on_silent(peer);
+    // The hook may have ended the link.
+    const auto it = links.find(id);
+    if (it != links.end() && it->second.outstanding == 0) {
+      Drop(id, DownKind::kSilent);
+    }
+  }
+
+  void CheckSilent(SocketId id, const Link& link, Instant now) {
+    const bool is_back = link.heard > *link.silent_since;
+    const bool is_over = now - *link.silent_since > init.silent_grace;
+    if (link.outstanding == 0 || (is_over && !is_back)) {
+      Drop(id, DownKind::kSilent);
+    }
+  }
+
+  void RemoveFromHost(HostId host, SocketId id) {
+    const auto it = by_host.find(host);
+    if (it == by_host.end()) return;
+    auto& ids = it->second;
+    ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
+    if (ids.empty()) by_host.erase(it);
+  }
+
   bool IsSilent(SocketId id, const Link& link, bool busy, Instant now) const {
     if (!busy) return now - link.heard > init.dead_idle;
     const Duration silence = now - std::max(link.heard, BusySince(link));
--- a/tests/daemon/relay.cpp
+++ b/tests/daemon/relay.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <utility>
 
 namespace lentilcross::testing {
 
@@ -20,6 +21,8 @@
   boost::asio::steady_timer timer;
   std::array<std::array<char, 16384>, 2> buffers{};
   bool silent = false;
+  bool held = false;
+  std::array<std::size_t, 2> held_sizes{};  ///< In `buffers`.
 };
 
 Relay::Relay(const Endpoint& to)
@@ -35,15 +38,36 @@
   thread_.join();
 }
 
-void Relay::Silence() {
+void Relay::ForEachPair(
+    const std::function<void(const std::shared_ptr<Pair>&)>& action) {
   std::promise<void> done;
   boost::asio::post(io_, [&] {
-    for (const auto& pair : pairs_) pair->silent = true;
+    for (const auto& pair : pairs_) action(pair);
     done.set_value();
   });
   done.get_future().wait();
 }
 
+void Relay::Silence() {
+  ForEachPair([](const auto& pair) { pair->silent = true; });
+}
+
+void Relay::Hold() {
+  ForEachPair([](const auto& pair) { pair->held = true; });
+}
+
+void Relay::Release() {
+  ForEachPair([this](const auto& pair) {
+    if (!pair->held) return;
+    pair->held = false;
+    for (const bool back : {false, true}) {
+      const std::size_t size =
+          std::exchange(pair->held_sizes[back ? 1 : 0], std::size_t{0});
+      if (size > 0) Deliver(pair, back, size);
+    }
+  });
+}
+
 void Relay::Dribble() {
   // Headers of websocket frames of 983,040 bytes, to a client and to a server.
   static const std::string to_client("\x82\x7f\0\0\0\0\0\x0f\0\0", 10);
@@ -90,21 +114,31 @@
 
 void Relay::Forward(const std::shared_ptr<Pair>& pair, bool back) {
   tcp::socket& source = back ? pair->to : pair->from;
-  tcp::socket& sink = back ? pair->from : pair->to;
-  auto& buffer = pair->buffers[back ? 1 : 0];
   source.async_read_some(
-      boost::asio::buffer(buffer),
-      [this, pair, back, &sink, &buffer](error_code error, std::size_t size) {
+      boost::asio::buffer(pair->buffers[back ? 1 : 0]),
+      [this, pair, back](error_code error, std::size_t size) {
         if (pair->silent) return;
-        error_code failed;
         if (error) {
-          pair->from.close(failed);
-          pair->to.close(failed);
+          error_code ignored;
+          pair->from.close(ignored);
+          pair->to.close(ignored);
+          return;
+        }
+        if (pair->held) {
+          pair->held_sizes[back ? 1 : 0] = size;
           return;
         }
-        boost::asio::write(sink, boost::asio::buffer(buffer, size), failed);
-        if (!failed) Forward(pair, back);
+        Deliver(pair, back, size);
       });
 }
 
+void Relay::Deliver(const std::shared_ptr<Pair>& pair, bool back,
+                    std::size_t size) {
+  tcp::socket& sink = back ? pair->from : pair->to;
+  error_code failed;
+  boost::asio::write(
+      sink, boost::asio::buffer(pair->buffers[back ? 1 : 0], size), failed);
+  if (!failed) Forward(pair, back);
+}
+
 }  // namespace lentilcross::testing
--- a/tests/daemon/silent_link_test.cpp
+++ b/tests/daemon/silent_link_test.cpp
@@ -104,6 +104,32 @@
   BOOST_TEST(fleet.target("back-1").received().size() == 1);
 }
 
+// Guards against a booking that is given up because its host was silent for a
+// while: longer than a busy link may be, and shorter than the caller waits.
+BOOST_AUTO_TEST_CASE(booking_outlives_a_slow_link) {
+  Setup setup;
+  Fleet& fleet = setup.fleet;
+  fleet.Start();
+  setup.hold = true;
+  const std::string ticket(fleet.Call("entry", "/book", {}, "POST")
+                               .response.header("Idempotency-Key"));
+  web::HttpResult result;
+  std::thread caller([&] {
+    result =
+        fleet.Call("entry", "/book", {{"Idempotency-Key", ticket}}, "POST");
+  });
+  BOOST_TEST(fleet.target("back-1").WaitReceived(1));
+  for (const auto& relay : setup.relays) relay->Hold();
+  fleet.target("back-1").AnswerHeld("booked");
+  BOOST_TEST(fleet.at("entry").WaitStats(
+      [](const DaemonStats& stats) { return stats.peers.silent > 0; }));
+  for (const auto& relay : setup.relays) relay->Release();
+  caller.join();
+  BOOST_TEST(result.response.status == 200);
+  BOOST_TEST(result.response.body == "booked");
+  BOOST_TEST(fleet.target("back-1").received().size() == 1);
+}
+
 // Guards against callers within rate that are refused for as long as an idle
 // link may be silent, when a host can no longer reach the owner of its quota.
 BOOST_AUTO_TEST_CASE(loan_request_finds_a_silent_link) {
--- a/tests/platform/odd_answers_test.cpp
+++ b/tests/platform/odd_answers_test.cpp
@@ -1,5 +1,5 @@
-// Answers of faulty targets: earlier ones written again, nameless ones, and
-// bytes without end.
+// Answers of faulty targets: earlier ones written again, nameless ones, bytes
+// without end, and answers that end early.
 
 #include <array>
 #include <atomic>
@@ -49,9 +49,11 @@
 /// connection; an endless answer is repeated until the connection ends.
 class ScriptedTarget {
  public:
+  enum class End { kKeepOpen, kClose, kReset };
   struct Step {
     std::string text;
     std::string endless;
+    End end = End::kKeepOpen;  ///< After `text`.
   };
 
   explicit ScriptedTarget(std::vector<Step> script)
@@ -78,6 +80,7 @@
     std::string in;
     std::string out;
     std::string endless;
+    End end = End::kKeepOpen;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -100,6 +103,7 @@
           const Step& step = script_[std::min(next_++, script_.size() - 1)];
           connection->out = step.text;
           connection->endless = step.endless;
+          connection->end = step.end;
           Write(connection);
         });
   }
@@ -109,6 +113,7 @@
         [this, connection](boost::system::error_code error, std::size_t size) {
           written_ += size;
           if (error) return;
+          if (connection->end != End::kKeepOpen) return Finish(*connection);
           if (connection->endless.empty()) return Read(connection);
           connection->out.clear();
           while (connection->out.size() < 65536) {
@@ -118,6 +123,14 @@
         });
   }
 
+  static void Finish(Connection& connection) {
+    boost::system::error_code ignored;
+    if (connection.end == End::kReset) {
+      connection.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    connection.socket.close(ignored);
+  }
+
   const std::vector<Step> script_;
   std::size_t next_ = 0;
   std::atomic<std::size_t> written_{0};
@@ -134,10 +147,11 @@
     client.emplace(io, init);
   }
 
-  /// Empty if there was no result in time.
+  /// Empty if there was no result in time. Runs for `settle` after the result,
+  /// so that what the target writes then arrives.
   std::optional<TargetClient::Result> Call(const ScriptedTarget& target,
-                                           const std::string& id,
-                                           Duration time) {
+                                           const std::string& id, Duration time,
+                                           Duration settle = milliseconds(50)) {
     HttpRequest request;
     request.method = "POST";
     request.target = "/book/1";
@@ -153,7 +167,7 @@
     }
     if (!result) client->Cancel(handle);
     io.restart();
-    io.run_for(milliseconds(50));
+    io.run_for(settle);
     return result;
   }
 
@@ -201,6 +215,67 @@
   BOOST_TEST((second->failure == Failure::kSent));
 }
 
+// Guards against a second copy of an answer, late, on a connection that was in
+// use again: the next caller would get an answer that is not its own.
+BOOST_AUTO_TEST_CASE(second_copy_of_an_answer_on_a_reused_connection) {
+  // The copy comes with the first answer, before the second request, or after
+  // it.
+  const ScriptedTarget at_once({{Good("a") + Good("a"), ""}, {Good("b"), ""}});
+  const ScriptedTarget late({{Good("a"), ""}, {Good("a") + Good("b"), ""}});
+  for (const ScriptedTarget* target : {&at_once, &late}) {
+    Caller caller;
+    for (const std::string id : {"a", "b"}) {
+      const auto result = caller.Call(*target, id, kTime);
+      BOOST_REQUIRE((result && result->failure == Failure::kNone));
+      BOOST_TEST(result->response.body == id);
+    }
+  }
+  BOOST_TEST(at_once.connections() == 2);
+  BOOST_TEST(late.connections() == 1);
+}
+
+// Guards against an answer that ends early and is passed on as a whole one: the
+// target stops in the head, at its end, in the body, or between chunks.
+BOOST_AUTO_TEST_CASE(answer_that_ends_early) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\n" + Named("a") + "X-Lentilcross-Server-Seal: s\r\n";
+  const std::string with_length = Good("a");
+  const std::string chunked =
+      head +
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  const std::string up_to_the_end = head + "\r\nabcde";
+  struct Case {
+    const std::string& whole;
+    ScriptedTarget::End end;
+    std::size_t cuts;  ///< Each shorter start of the answer is one.
+  };
+  using End = ScriptedTarget::End;
+  const std::vector<Case> cases = {
+      {with_length, End::kClose, with_length.size()},
+      {with_length, End::kReset, with_length.size()},
+      {chunked, End::kClose, chunked.size()},
+      {chunked, End::kReset, chunked.size()},
+      // A body without a length ends with its connection, unless that is reset.
+      {up_to_the_end, End::kClose, head.size() + 2},
+      {up_to_the_end, End::kReset, up_to_the_end.size() + 1},
+  };
+  for (const auto& [whole, end, cuts] : cases) {
+    std::vector<ScriptedTarget::Step> script;
+    for (std::size_t size = 0; size < cuts; ++size) {
+      script.push_back({whole.substr(0, size), "", end});
+    }
+    const ScriptedTarget target(script);
+    Caller caller;
+    for (std::size_t size = 0; size < cuts; ++size) {
+      BOOST_TEST_CONTEXT("first " << size << " bytes of " << whole) {
+        const auto result = caller.Call(target, "a", kTime, {});
+        BOOST_REQUIRE(result.has_value());
+        BOOST_TEST((result->failure == Failure::kSent));
+      }
+    }
+  }
+}
+
 // Guards against memory and time without bound where a target sends bytes that
 // never make an answer.
 BOOST_AUTO_TEST_CASE(bytes_without_end) {
