--- a/tools/rate_compare/rate_scale.cpp
+++ b/tools/rate_compare/rate_scale.cpp
@@ -124,10 +124,6 @@
     sum.admitted += count.admitted;
     sum.refused_within += count.refused_within;
     sum.excess += count.excess;
-      std::cerr << options.organisations[i].rate << " offered " << count.offered
-                << " within " << count.within << " admitted " << count.admitted
-                << " refused " << count.refused_within << " longest "
-                << count.longest_wait.count() / 1e6 << "\n";
     if (count.within < 100) continue;
     worst = std::min(worst, static_cast<double>(count.admitted) /
                                 static_cast<double>(count.within));
