--- a/src/rate_book_impl.h
+++ b/src/rate_book_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <unordered_map>
 #include <utility>
@@ -54,7 +55,9 @@
   /// Term of loans whose tokens the borrower uses at once. Later the requests
   /// that asked for them are refused anyway. Such loans are neither renewed nor
   /// returned.
-  Duration SpotTerm() const { return init.longest_wait + kUnmetTokensLifetime; }
+  Duration SpotTerm() const {
+    return std::min(init.longest_wait + kUnmetTokensLifetime, init.loan_term);
+  }
 
   // Configuration and time.
   void Apply(const Configuration& configuration, Instant now);
@@ -100,6 +103,9 @@
                      Instant now);
   void BorrowFromPrimary(OrganisationState& org, Lender& primary,
                          const BorrowingNeeds& needs, Instant now);
+  void AdjustLoan(OrganisationState& org, Lender& primary,
+                  const BorrowingNeeds& needs, double rate, double need,
+                  Instant now);
   void RequestFromAll(OrganisationState& org, const BorrowingNeeds& needs,
                       Instant now);
   void RequestRateAndTokens(OrganisationState& org, Lender& lender, Quota keep,
--- a/src/rate_borrower.cpp
+++ b/src/rate_borrower.cpp
@@ -297,15 +297,24 @@
   // includes.
   const bool grant_due = primary.tokens_in_flight > 0;
   if (needs.spot && rate <= 0) {
+    // Tokens without a waiting request were granted twice or too late.
+    const bool unused_token = account.tokens() >= 1 - kRoundingTolerance;
     if (need > 0) {
       RequestSpotTokens(org, primary, need, now);
-    } else if (org.waiting == 0 && !grant_due &&
-               account.tokens() >= 1 - kRoundingTolerance) {
-      // Granted twice, or for requests that no longer wait.
+    } else if (org.waiting == 0 && unused_token && !grant_due) {
       ReturnLoansOf(org, now);
     }
     return;
   }
+  AdjustLoan(org, primary, needs, rate, need, now);
+}
+
+// Keeps a loan at a host with a reserve: renews it, asks for more tokens or a
+// higher rate, and returns what is not used.
+void RateLimiter::Impl::AdjustLoan(OrganisationState& org, Lender& primary,
+                                   const BorrowingNeeds& needs, double rate,
+                                   double need, Instant now) {
+  const RateAccount& account = org.account;
   const Quota level = account.BorrowedFrom(primary.host);
   const Duration since = now - primary.last_request;
   const bool renew = IsRenewalDue(org, primary, now);
@@ -328,6 +337,7 @@
         needs.reserve, std::min(2.0, kMinReturnShare * org.total.burst));
     const bool returns = since >= ReturnInterval(org.total) &&
                          (freed + surplus > least || overflows);
+    const bool grant_due = primary.tokens_in_flight > 0;
     if (returns && !grant_due && !EndsSoon(org, primary, now)) {
       QueueReturn(org, primary, kept, surplus, now);
     }
