Keep a silent link for the reply of work that ended on it

Cause: a side that answered its last call on a silent link killed the link within 50 ms, with the reply still on its way to a peer that was only slow. Change: the link stays for the grace time after the last sign of the peer; once the peer is heard and nothing is outstanding, it is closed with a closing handshake. Test: booking_that_ends_on_a_silent_link (it holds on the code before as well, as the relay keeps what it has read).

--- a/src/peer_links_impl.h
+++ b/src/peer_links_impl.h
@@ -431,11 +431,18 @@
     }
   }
 
-  void CheckSilent(SocketId id, const Link& link, Instant now) {
-    const bool is_back = link.heard > *link.silent_since;
-    const bool is_over = now - *link.silent_since > init.silent_grace;
-    if (link.outstanding == 0 || (is_over && !is_back)) {
+  // The link is not dropped as soon as nothing is outstanding on it: a reply of
+  // this side may still be on its way.
+  void CheckSilent(SocketId id, Link& link, Instant now) {
+    const Instant last_sign = std::max(link.heard, *link.silent_since);
+    if (now - last_sign > init.silent_grace) {
       Drop(id, DownKind::kSilent);
+      return;
+    }
+    const bool is_back = link.heard > *link.silent_since;
+    if (is_back && link.outstanding == 0 && !link.closing) {
+      link.closing = true;
+      transport.Close(id);
     }
   }
 
--- a/tests/daemon/silent_link_test.cpp
+++ b/tests/daemon/silent_link_test.cpp
@@ -106,8 +106,7 @@
 
 // Guards against a booking that is given up because its host was silent for a
 // while: longer than a busy link may be, and shorter than the caller waits.
-BOOST_AUTO_TEST_CASE(booking_outlives_a_slow_link) {
-  constexpr auto kSilence = std::chrono::seconds(1);
+void CheckBookingOutlivesSilence(Duration until_answer, Duration after_it) {
   Setup setup;
   Fleet& fleet = setup.fleet;
   fleet.Start();
@@ -121,8 +120,9 @@
   });
   BOOST_TEST(fleet.target("back-1").WaitReceived(1));
   for (const auto& relay : setup.relays) relay->Hold();
+  std::this_thread::sleep_for(until_answer);
   fleet.target("back-1").AnswerHeld("booked");
-  std::this_thread::sleep_for(kSilence);
+  std::this_thread::sleep_for(after_it);
   for (const auto& relay : setup.relays) relay->Release();
   caller.join();
   BOOST_TEST(fleet.at("entry").WaitStats(
@@ -132,6 +132,16 @@
   BOOST_TEST(fleet.target("back-1").received().size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(booking_outlives_a_slow_link) {
+  CheckBookingOutlivesSilence({}, std::chrono::seconds(1));
+}
+
+// The same where the work ends after both sides have noticed the silence.
+BOOST_AUTO_TEST_CASE(booking_that_ends_on_a_silent_link) {
+  CheckBookingOutlivesSilence(std::chrono::milliseconds(600),
+                              std::chrono::milliseconds(400));
+}
+
 // Guards against callers within rate that are refused for as long as an idle
 // link may be silent, when a host can no longer reach the owner of its quota.
 BOOST_AUTO_TEST_CASE(loan_request_finds_a_silent_link) {
