--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,15 +13,17 @@
 WINDOW_S, EXCESS, SLACK = 5.0, 0.25, 20   # quota-window-s, -excess, -slack
 LIMIT = (RATE * WINDOW_S + BURST) * (1 + EXCESS) + SLACK
 GRACE_S = 6.0
-ASKED = 260           # requests a second at each machine
+USUAL = 50            # requests a second at each machine
+HOT = 260             # hot_tenant: 5.2 times the usual, for 6.5 s
+HOT_S = 6.5
 WORKERS = 40
 
 
-async def worker(machine, tenant, gap, stop, tally):
+async def worker(machine, tenant, load, stop, tally):
     reader = writer = None
     due = time.monotonic()
     while not stop.is_set():
-        due += gap
+        due += WORKERS / load[0]
         await asyncio.sleep(max(0, due - time.monotonic()))
         due = max(due, time.monotonic() - 0.2)
         name = h.new_id()
@@ -65,9 +67,9 @@
     for up in ups:
         await up.start()
     await fleet.start(settle_s=6.0)
-    stop, tally = asyncio.Event(), {}
+    stop, tally, load = asyncio.Event(), {}, [USUAL]
     tasks = [asyncio.ensure_future(
-        worker(m, tenant, WORKERS / ASKED, stop, tally))
+        worker(m, tenant, load, stop, tally))
         for m in (a, b, c) for _ in range(WORKERS)]
     began = time.monotonic()
     await asyncio.sleep(8)
@@ -95,7 +97,12 @@
         a.name, a.process.returncode))
     await asyncio.sleep(0.3)
     a.start()
-    await asyncio.sleep(9)
+    await asyncio.sleep(2)
+    load[0] = HOT
+    record("hot      the tenant sends %.1f times its usual" % (HOT / USUAL))
+    await asyncio.sleep(HOT_S)
+    load[0] = USUAL
+    await asyncio.sleep(1)
     stop.set()
     await asyncio.wait(tasks, timeout=4)
     for key, count in sorted(tally.items()):
