Carry the name of the organisation with a call

Cause: a call carried only the id of its organisation, and the daemon beside the target looked the name up in its own configuration. A host that was paused while a version added the organisation, or that already had a version without it, found no name and left the header out.

Change: the name is part of the request context, set by the entry host from the version that admitted the request. A call with an id and without a usable name is refused as not run.

--- a/include/lentilcross/context.h
+++ b/include/lentilcross/context.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 #include "lentilcross/types.h"
 
 namespace lentilcross {
@@ -9,6 +11,8 @@
 struct RequestContext {
   RequestId id;
   OrganisationId organisation;
+  /// Name to tell the target. Empty for organisation 0.
+  std::string organisation_name;
   Importance importance = Importance::kLookup;
   Version version;  ///< Configuration used for admission.
   HostId entry_host;
--- a/src/http_types.cpp
+++ b/src/http_types.cpp
@@ -26,12 +26,6 @@
   });
 }
 
-bool IsFieldValue(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), [](char c) {
-    return c != '\r' && c != '\n' && c != '\0';
-  });
-}
-
 bool IsPath(std::string_view text) {
   return !text.empty() && text.front() == '/' &&
          std::all_of(text.begin(), text.end(), [](char c) {
@@ -92,6 +86,12 @@
                 headers.end());
 }
 
+bool IsFieldValue(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return c != '\r' && c != '\n' && c != '\0';
+  });
+}
+
 bool IsSafeToSerialise(const Headers& headers) {
   return std::all_of(headers.begin(), headers.end(), [](const auto& entry) {
     return IsToken(entry.first) && IsFieldValue(entry.second);
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -45,5 +45,7 @@
 /// character that ends its line or word early. Data from peers must be checked.
 bool IsSafeToSerialise(const HttpRequest& request);
 bool IsSafeToSerialise(const Headers& headers);
+/// The same for the value of one header.
+bool IsFieldValue(std::string_view text);
 
 }  // namespace lentilcross
--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -61,6 +61,7 @@
     v.Record(m.id);
     // Open routes belong to organisation 0.
     v.Identifier(m.organisation, IdRule::kMayBeInvalid);
+    v.Text(m.organisation_name, kMaxNameSize);
     v.Enumerator(m.importance, kImportanceCount);
     v.VersionNumber(m.version);
     v.Identifier(m.entry_host, IdRule::kRequired);
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -120,7 +120,10 @@
   void MakeContext(EntryRequest& entry) {
     RequestContext& context = entry.context;
     context.id = RequestId::Make(state.random);
-    if (entry.key) context.organisation = entry.key->organisation;
+    if (entry.key) {
+      context.organisation = entry.key->organisation;
+      context.organisation_name = OrganisationName(entry, context.organisation);
+    }
     context.importance = ImportanceOf(entry);
     context.version = entry.configuration->version;
     context.entry_host = state.self;
@@ -139,6 +142,7 @@
     RequestContext& context = entry.context;
     context.id = parent->id;
     context.organisation = parent->organisation;
+    context.organisation_name = parent->organisation_name;
     context.importance = parent->depth == 0
                              ? ImportanceOfOnwardCalls(parent->importance)
                              : parent->importance;
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -50,6 +50,17 @@
   return status >= 500 ? Sample::kFailed : Sample::kOk;
 }
 
+bool IsWellFormed(const Call& call) {
+  const RequestContext& context = call.context;
+  if (context.depth > LENTILCROSS_CONFIG_MAX_DEPTH) return false;
+  if (context.organisation.valid() && context.organisation_name.empty()) {
+    return false;
+  }
+  return IsFieldValue(context.organisation_name) &&
+         IsSafeToSerialise(
+             HttpRequest{call.method, call.path, call.headers, {}});
+}
+
 }  // namespace
 
 struct TargetCalls::Impl : std::enable_shared_from_this<Impl> {
@@ -96,9 +107,7 @@
     by_number[running->number] = running;
     by_key[running->key] = running;
     const Call& call = running->call;
-    if (call.context.depth > LENTILCROSS_CONFIG_MAX_DEPTH ||
-        !IsSafeToSerialise(
-            HttpRequest{call.method, call.path, call.headers, {}})) {
+    if (!IsWellFormed(call)) {
       Refuse(running, Reason::kBadRequest, "malformed call", {});
       return;
     }
@@ -238,8 +247,7 @@
     running->sent = state.Now();
     const HttpRequest request = ToTargetRequest(
         running->call, running->token, targets[running->target].registered_name,
-        running->deadline - state.Now(), state.configuration.get(),
-        state.dialect);
+        running->deadline - state.Now(), state.dialect);
     running->http = client.Start(
         targets[running->target].settings.address, request,
         [this, key = running->key] {
--- a/src/target_request.cpp
+++ b/src/target_request.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lentilcross/configuration.h"
+
 namespace lentilcross {
 
 namespace {
@@ -9,13 +11,11 @@
 /// Returns the organisation to name to the target. For a call on an open route
 /// or without an organisation, that is the public one, or empty if the dialect
 /// does not name it.
-std::string OrganisationName(const Call& call,
-                             const Configuration* configuration,
-                             const HttpDialect& dialect) {
-  if (configuration != nullptr && !call.open) {
-    const auto it =
-        configuration->organisations.find(call.context.organisation);
-    if (it != configuration->organisations.end()) return it->second.name;
+std::string OrganisationName(const Call& call, const HttpDialect& dialect) {
+  // The configuration of this host may be older or newer than the one that the
+  // call was admitted with, so that it may not list the organisation.
+  if (!call.open && call.context.organisation.valid()) {
+    return call.context.organisation_name;
   }
   if (!dialect.send_organisation_on_public_routes) return {};
   return std::string(kPublicOrganisation);
@@ -25,9 +25,7 @@
 
 HttpRequest ToTargetRequest(const Call& call, const std::string& token,
                             const std::string& expected_target,
-                            Duration remaining,
-                            const Configuration* configuration,
-                            const HttpDialect& dialect) {
+                            Duration remaining, const HttpDialect& dialect) {
   HttpRequest request{call.method, call.path, call.headers, call.body};
   const auto remaining_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
@@ -38,7 +36,7 @@
   add(dialect.context, token);
   add(dialect.timeout,
       std::to_string(std::max<std::int64_t>(remaining_ms.count(), 1)));
-  add(dialect.organisation, OrganisationName(call, configuration, dialect));
+  add(dialect.organisation, OrganisationName(call, dialect));
   add(dialect.importance, std::string(ToString(call.context.importance)));
   add(dialect.expected_target, expected_target);
   return request;
--- a/tests/peer_calls_test.cpp
+++ b/tests/peer_calls_test.cpp
@@ -34,15 +34,17 @@
 
 class FakeTargets : public TargetConnections {
  public:
-  Handle Start(const Endpoint& /*address*/, const HttpRequest& /*request*/,
+  Handle Start(const Endpoint& /*address*/, const HttpRequest& request,
                std::function<bool()> may_write,
                std::function<void(Result&&)> /*done*/) override {
     if (may_write()) ++written;
+    last_request = request;
     return ++last_handle;
   }
   void Cancel(Handle /*handle*/) override {}
 
   int written = 0;
+  HttpRequest last_request;
   Handle last_handle = 0;
 };
 
@@ -148,4 +150,32 @@
   BOOST_TEST(f.connections.written == 1);
 }
 
+// Guards against a call that runs without the name of its organisation because
+// the host of the target does not know, or no longer knows, that organisation.
+BOOST_AUTO_TEST_CASE(organisation_unknown_to_the_host_of_the_target_is_named) {
+  Fixture f;
+  Call call = Fixture::MakeCall(1, false);
+  call.context.organisation = OrganisationId::FromName("newcomers");
+  call.context.organisation_name = "newcomers";
+  f.calls.OnCall(f.peer, std::move(call));
+  BOOST_REQUIRE(f.connections.written == 1);
+  BOOST_TEST(f.connections.last_request.header(f.state->dialect.organisation) ==
+             "newcomers");
+}
+
+// Guards against a call that runs for an organisation whose name is not known,
+// and against a name that ends its header early.
+BOOST_AUTO_TEST_CASE(call_without_a_usable_name_of_its_organisation) {
+  for (const char* name : {"", "new\r\nX-Other: 1"}) {
+    Fixture f;
+    Call call = Fixture::MakeCall(1, false);
+    call.context.organisation = OrganisationId::FromName("newcomers");
+    call.context.organisation_name = name;
+    f.calls.OnCall(f.peer, std::move(call));
+    BOOST_TEST(f.connections.written == 0);
+    BOOST_REQUIRE(f.links.sent.size() == 1U);
+    BOOST_TEST(IsNotRun(std::get<Reply>(f.links.sent[0])));
+  }
+}
+
 }  // namespace lentilcross
