Tell new processes of the lapsed hosts

Cause: the hosts among which owners of a quota are chosen include the lapsed ones, and those were known only to processes that had seen their registration. A process that started later ranked itself as an owner in place of a lapsed host whose daemon lives on.

--- a/include/lentilcross/fleet.h
+++ b/include/lentilcross/fleet.h
@@ -82,6 +82,9 @@
   bool OnRegistered(RegisteredTarget target, std::uint64_t revision,
                     Instant now);
   bool OnRemoved(const std::string& name, std::uint64_t revision, Instant now);
+  /// Adds a lapsed host that a peer told of, unless it is known or one of the
+  /// registered targets is on it.
+  bool AddLapsedHost(const std::string& host, LapsedHost lapsed, Instant now);
   /// The registry became unreachable.
   void OnRegistryLost(Instant now);
   /// The registry is reachable; starts the grace period if it was lost.
--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -104,6 +104,8 @@
   std::uint64_t registry_revision = 0;
   /// Since that was last known to be the newest.
   Duration registry_age = kMaxPeerDuration;
+  /// Whether the sender asks for a `LapsedHostList`.
+  bool wants_lapsed_hosts = false;
   std::vector<MemberUpdate> members;
 };
 
@@ -212,6 +214,20 @@
   std::vector<RegistryEntry> entries;
 };
 
+/// A host whose target lost its registration, and that keeps its part in
+/// quotas.
+struct LapsedHostEntry {
+  std::string host;
+  std::string failure_domain;
+  std::string peer;
+  Duration remaining{};  ///< Until it is removed.
+};
+
+/// Tells a new process what only those can know that saw the registration.
+struct LapsedHostList {
+  std::vector<LapsedHostEntry> hosts;
+};
+
 struct Leave {
   HostId host;
   Incarnation incarnation;
@@ -229,7 +245,7 @@
     std::variant<Hello, Proof, Call, Reply, Cancel, CancelAck, Digest,
                  ConfigRequest, ConfigDelta, ConfigSnapshot, LoanRequest,
                  LoanGrant, LoanReturn, Leave, Ping, Pong, RegistryRequest,
-                 RegistryDelta>;
+                 RegistryDelta, LapsedHostList>;
 
 /// CBOR bytes of a message. The caller keeps the fields within the limits that
 /// `Decode` checks; a message beyond them is refused by the receiver.
--- a/include/lentilcross/registry.h
+++ b/include/lentilcross/registry.h
@@ -61,13 +61,17 @@
 
   // Messages from and to peers. `OnDigest` and `OnRequest` return the answers.
 
-  /// Sets the revision and the age of the registry in a digest.
+  /// Sets the revision and the age of the registry in a digest, and whether
+  /// this process wants to hear of lapsed hosts.
   void AddRegistryState(Digest& digest, Instant now) const;
   std::vector<PeerMessage> OnDigest(const Digest& digest, Instant now);
   std::vector<PeerMessage> OnRequest(const RegistryRequest& request,
                                      Instant now);
   /// True if `fleet` changed.
   bool OnDelta(const RegistryDelta& delta, Instant now);
+  /// Takes over the lapsed hosts that a peer knows. Only a new process does:
+  /// later it has seen all of them itself. True if `fleet` changed.
+  bool OnLapsedHosts(const LapsedHostList& list, Instant now);
   /// Takes the changes that were not sent to any peer yet, to be pushed to some
   /// peers. Empty if there are none or if they do not fit one message.
   std::optional<RegistryDelta> TakeUnsentChanges(Instant now);
@@ -106,6 +110,10 @@
   /// The changes after `revision`, or a snapshot if there are too many.
   std::vector<PeerMessage> ChangesSince(std::uint64_t revision, Instant now);
   std::vector<PeerMessage> MakeSnapshot(Instant now) const;
+  /// The lapsed hosts in messages of limited size; none if there are none.
+  std::vector<PeerMessage> MakeLapsedHostLists(Instant now) const;
+  /// The answer to the registry state in a digest.
+  std::vector<PeerMessage> OnRegistryState(const Digest& digest, Instant now);
 
   Init init_;
   Stats stats_;
@@ -117,6 +125,7 @@
   std::uint64_t pushed_revision_ = 0;  ///< Last revision pushed to peers.
   bool has_unsent_changes_ = false;
   std::optional<Instant> confirmed_;
+  std::optional<Instant> known_since_;  ///< First state of the registry.
   bool lost_ = false;
   std::optional<Instant> requested_;      ///< Set while a request is open.
   std::optional<Instant> last_fallback_;  ///< Last need for a fallback read.
--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -254,6 +254,10 @@
       OnRegistry(registry.OnDelta(*delta, now));
       return;
     }
+    if (const auto* list = std::get_if<LapsedHostList>(&message)) {
+      OnRegistry(registry.OnLapsedHosts(*list, now));
+      return;
+    }
     if (const auto* digest = std::get_if<Digest>(&message)) {
       membership.OnUpdates(digest->members, now);
       SendTo(envelope.host, registry.OnDigest(*digest, now));
--- a/src/data_loop.cpp
+++ b/src/data_loop.cpp
@@ -203,6 +203,7 @@
     Digest digest;
     if (state.configuration) digest.version = state.configuration->version;
     digest.platform_age = kMaxPeerDuration;
+    digest.wants_lapsed_hosts = true;
     links.SendOverLink(peer.link, digest);
     if (state.draining) links.SendOverLink(peer.link, LeaveMessage());
     outgoing.OnLinkUp(peer.host, peer.link);
@@ -297,6 +298,9 @@
   void Handle(const PeerLinks::Peer& peer, RegistryDelta&& delta) {
     SendToControl(PeerEnvelope{peer.host, std::move(delta)});
   }
+  void Handle(const PeerLinks::Peer& peer, LapsedHostList&& list) {
+    SendToControl(PeerEnvelope{peer.host, std::move(list)});
+  }
   // `PeerLinks` handles these messages itself.
   void Handle(const PeerLinks::Peer& /*peer*/, Hello&& /*hello*/) {}
   void Handle(const PeerLinks::Peer& /*peer*/, Proof&& /*proof*/) {}
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -7,6 +7,9 @@
 namespace lentilcross {
 namespace {
 
+/// Lapsed hosts from which on those that peers tell of are left out.
+constexpr std::size_t kMaxToldHosts = 4096;
+
 bool IsConfigured(const RegisteredTarget& target, const Configuration& config) {
   return config.services.count(ServiceId::FromName(target.service)) != 0 &&
          config.failure_domains.count(
@@ -148,6 +151,17 @@
                                       now + init_.host_grace};
 }
 
+bool FleetTracker::AddLapsedHost(const std::string& host, LapsedHost lapsed,
+                                 Instant now) {
+  if (fleet_.lapsed_hosts.size() >= kMaxToldHosts) return false;
+  const bool is_registered =
+      std::any_of(fleet_.targets.begin(), fleet_.targets.end(),
+                  [&](const auto& entry) { return entry.second.host == host; });
+  if (is_registered) return false;
+  lapsed.until = std::min(lapsed.until, now + init_.host_grace);
+  return fleet_.lapsed_hosts.emplace(host, std::move(lapsed)).second;
+}
+
 bool FleetTracker::RemoveEndedHosts(
     const std::function<bool(HostId)>& has_ended) {
   return EraseHosts(fleet_.lapsed_hosts,
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -234,7 +234,8 @@
                      "ping",
                      "pong",
                      "registry-request",
-                     "registry-delta"};
+                     "registry-delta",
+                     "lapsed-hosts"};
 
 void WritePeerBytes(Writer& out, const PeerLinkStats& peers) {
   out.Head("peer_sent_bytes_total", "counter",
--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -170,6 +170,7 @@
     v.Time(m.platform_age);
     v.Integer(m.registry_revision);
     v.Time(m.registry_age);
+    v.Flag(m.wants_lapsed_hosts);
     v.List(m.members, LENTILCROSS_CONFIG_MAX_MEMBER_UPDATES);
   }
 };
@@ -326,6 +327,25 @@
   }
 };
 
+template <>
+struct Schema<LapsedHostEntry> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.Text(m.host, kMaxNameSize);
+    v.Text(m.failure_domain, kMaxNameSize);
+    v.Text(m.peer, kMaxNameSize);
+    v.Time(m.remaining);
+  }
+};
+
+template <>
+struct Schema<LapsedHostList> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v.List(m.hosts, kMaxRegistryEntries);
+  }
+};
+
 template <>
 struct Schema<Ping> {
   template <typename V, typename M>
--- a/src/registry.cpp
+++ b/src/registry.cpp
@@ -14,6 +14,9 @@
 // A digest of the same revision is answered if the peer's state is older than
 // the local one by more than this.
 constexpr Duration kMinAgeGain = std::chrono::milliseconds(500);
+// A new process asks for lapsed hosts until its peers have seen all changes
+// that its first state of the registry included.
+constexpr Duration kLapsedHostQueryTime = std::chrono::seconds(10);
 // Limits reads by new fallback readers to 1,667 calls/s; the platform allows
 // 2,000.
 constexpr double kFallbackSecondsPerHost = 600e-6;
@@ -72,6 +75,7 @@
 
 bool Registry::ApplySnapshot(const Fleet& snapshot, Instant now) {
   if (known() && snapshot.revision < state_.revision) return false;
+  if (!known_since_) known_since_ = now;
   state_ = snapshot;
   history_.clear();
   history_base_ = snapshot.revision;
@@ -118,9 +122,22 @@
 void Registry::AddRegistryState(Digest& digest, Instant now) const {
   digest.registry_revision = state_.revision;
   digest.registry_age = Age(now);
+  digest.wants_lapsed_hosts =
+      !known_since_ || now - *known_since_ < kLapsedHostQueryTime;
 }
 
 std::vector<PeerMessage> Registry::OnDigest(const Digest& digest, Instant now) {
+  std::vector<PeerMessage> answers = OnRegistryState(digest, now);
+  if (digest.wants_lapsed_hosts) {
+    for (PeerMessage& list : MakeLapsedHostLists(now)) {
+      answers.push_back(std::move(list));
+    }
+  }
+  return answers;
+}
+
+std::vector<PeerMessage> Registry::OnRegistryState(const Digest& digest,
+                                                   Instant now) {
   if (digest.registry_revision == 0) return {};
   if (digest.registry_revision > state_.revision) {
     if (requested_ && now - *requested_ < kRequestTimeout) return {};
@@ -192,6 +209,35 @@
   return messages;
 }
 
+std::vector<PeerMessage> Registry::MakeLapsedHostLists(Instant now) const {
+  std::vector<PeerMessage> messages;
+  LapsedHostList list;
+  for (const auto& [host, lapsed] : fleet().lapsed_hosts) {
+    if (lapsed.until <= now) continue;
+    list.hosts.push_back(
+        {host, lapsed.failure_domain, lapsed.peer, lapsed.until - now});
+    if (list.hosts.size() == kMaxRegistryEntries) {
+      messages.emplace_back(std::exchange(list, {}));
+    }
+  }
+  if (!list.hosts.empty()) messages.emplace_back(std::move(list));
+  return messages;
+}
+
+bool Registry::OnLapsedHosts(const LapsedHostList& list, Instant now) {
+  // A process that has run for longer would add hosts again that it removed.
+  if (known_since_ && now - *known_since_ > init_.tracker.host_grace) {
+    return false;
+  }
+  bool changed = false;
+  for (const LapsedHostEntry& entry : list.hosts) {
+    changed |= tracker_.AddLapsedHost(
+        entry.host, {entry.failure_domain, entry.peer, now + entry.remaining},
+        now);
+  }
+  return changed;
+}
+
 bool Registry::OnDelta(const RegistryDelta& delta, Instant now) {
   if (delta.to < state_.revision) return false;
   if (delta.from > 0) {
--- a/tests/daemon/operator_test.cpp
+++ b/tests/daemon/operator_test.cpp
@@ -130,7 +130,8 @@
       {Ping{}, "ping"},
       {Pong{}, "pong"},
       {RegistryRequest{}, "registry-request"},
-      {RegistryDelta{}, "registry-delta"}};
+      {RegistryDelta{}, "registry-delta"},
+      {LapsedHostList{}, "lapsed-hosts"}};
   BOOST_TEST(kinds.size() == stats.peers.bytes_sent.size());
   for (const auto& [message, name] : kinds) {
     stats.peers.bytes_sent[message.index()] = 100 + message.index();
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -58,6 +58,8 @@
       answers = receiver->OnDigest(*state, now);
     } else if (const auto* request = std::get_if<RegistryRequest>(&message)) {
       answers = receiver->OnRequest(*request, now);
+    } else if (const auto* list = std::get_if<LapsedHostList>(&message)) {
+      receiver->OnLapsedHosts(*list, now);
     } else {
       receiver->OnDelta(std::get<RegistryDelta>(message), now);
     }
@@ -134,6 +136,81 @@
   BOOST_TEST(!HasTarget(other, "t1"));
 }
 
+/// A registry whose targets t0 and t1 were on hosts that lapsed; t2 has left.
+struct WithLapsedHosts : Pair {
+  WithLapsedHosts() {
+    reader.OnSnapshot(MakeFleet(50, 4), now);
+    RegisteredTarget leaving = MakeTarget("t2");
+    leaving.draining = true;
+    reader.OnChanges(51, {{"t2", 51, leaving}}, now);
+    reader.OnChanges(
+        54, {Removal("t0", 52), Removal("t1", 53), Removal("t2", 54)}, now);
+  }
+  /// What a process reads that starts now.
+  Fleet Snapshot() const {
+    Fleet fleet = MakeFleet(54, 4);
+    for (const char* name : {"t0", "t1", "t2"}) fleet.targets.erase(name);
+    return fleet;
+  }
+  static std::set<std::string> LapsedHosts(const Registry& registry) {
+    std::set<std::string> hosts;
+    for (const auto& [host, lapsed] : registry.fleet().lapsed_hosts) {
+      hosts.insert(host);
+    }
+    return hosts;
+  }
+};
+
+// Guards against a process that starts beside a lapsed host, does not know of
+// it and holds the same part of a quota as the daemon there.
+BOOST_FIXTURE_TEST_CASE(new_process_hears_of_lapsed_hosts, WithLapsedHosts) {
+  const std::set<std::string> lapsed = {"host-t0", "host-t1"};
+  BOOST_TEST((LapsedHosts(reader) == lapsed));
+  now += seconds(4);
+  reader.OnChanges(54, {}, now);
+  other.OnSnapshot(Snapshot(), now);
+  Exchange(other, reader, now);
+  BOOST_TEST((LapsedHosts(other) == lapsed));
+  // Both remove them at the same time.
+  const Duration rest = FleetTracker::Init{}.host_grace - seconds(4);
+  other.Tick(now + rest - milliseconds(1));
+  BOOST_TEST((LapsedHosts(other) == lapsed));
+  other.Tick(now + rest);
+  BOOST_TEST(LapsedHosts(other).empty());
+}
+
+// Guards against a new process that is told before it has read the registry,
+// and against a host that counts as lapsed though a target is registered on it.
+BOOST_FIXTURE_TEST_CASE(lapsed_hosts_told_before_the_first_read,
+                        WithLapsedHosts) {
+  Exchange(other, reader, now);
+  Fleet snapshot = Snapshot();
+  snapshot.revision = 55;
+  snapshot.targets["t9"] = MakeTarget("t9");
+  snapshot.targets["t9"].host = "host-t1";
+  other.OnSnapshot(snapshot, now);
+  BOOST_TEST((LapsedHosts(other) == std::set<std::string>{"host-t0"}));
+  Exchange(other, reader, now);
+  BOOST_TEST((LapsedHosts(other) == std::set<std::string>{"host-t0"}));
+}
+
+// Guards against lapsed hosts that processes add again and again because they
+// tell each other of them.
+BOOST_FIXTURE_TEST_CASE(settled_process_adds_no_lapsed_hosts, WithLapsedHosts) {
+  other.OnSnapshot(Snapshot(),
+                   now - FleetTracker::Init{}.host_grace - milliseconds(1));
+  const auto lists = reader.OnDigest(
+      [] {
+        Digest digest;
+        digest.wants_lapsed_hosts = true;
+        return digest;
+      }(),
+      now);
+  BOOST_REQUIRE(lists.size() == 1U);
+  BOOST_TEST(!other.OnLapsedHosts(std::get<LapsedHostList>(lists[0]), now));
+  BOOST_TEST(LapsedHosts(other).empty());
+}
+
 /// Simulated hosts in several failure domains with one reader each. Messages
 /// take one tick, or no time with `instant`: ages that are passed on do not
 /// include the time on the way. A fraction `loss` of them is dropped.
@@ -254,6 +331,8 @@
       answers = registry.OnDigest(*digest, now_);
     } else if (const auto* request = std::get_if<RegistryRequest>(&message)) {
       answers = registry.OnRequest(*request, now_);
+    } else if (const auto* list = std::get_if<LapsedHostList>(&message)) {
+      registry.OnLapsedHosts(*list, now_);
     } else {
       registry.OnDelta(std::get<RegistryDelta>(message), now_);
     }
