Limit the bytes of incomplete responses of all targets

Report of other operators: an upstream that sends bytes without end makes the machine run out of memory.

Cause here: each response is limited (64 KB head, 960 KB body), their sum was not. A target that never ends its answers holds that much for each of its slots until the time limits of the requests.

Change: responses are read in parts; above 32 MiB in sum the request with the largest incomplete one fails with unknown outcome.

--- a/include/lentilcross/config.h
+++ b/include/lentilcross/config.h
@@ -18,6 +18,12 @@
 #define LENTILCROSS_CONFIG_MAX_BODY 983040
 #endif
 
+// Maximum bytes of incomplete responses of all targets. Without it, a target
+// that never ends its responses would hold MAX_BODY for each of its slots.
+#ifndef LENTILCROSS_CONFIG_MAX_HELD_RESPONSES
+#define LENTILCROSS_CONFIG_MAX_HELD_RESPONSES 33554432
+#endif
+
 #ifndef LENTILCROSS_CONFIG_MAX_USED_TICKETS
 #define LENTILCROSS_CONFIG_MAX_USED_TICKETS 65536
 #endif
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -276,6 +276,11 @@
   out.Counter("target_foreign_answers_total",
               "Answers dropped because they named another request.",
               client.foreign_answers);
+  out.Gauge("target_held_bytes", "Bytes of incomplete responses.",
+            static_cast<double>(client.held_bytes));
+  out.Counter("target_held_full_total",
+              "Requests failed because incomplete responses held too much.",
+              client.held_full);
 }
 
 void WriteTargets(Writer& out, const std::vector<TargetStatus>& targets) {
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -98,6 +98,7 @@
   boost::beast::flat_buffer buffer{web::kMaxBufferedBytes};
   std::optional<Parser> parser;
   std::string out;
+  std::size_t held_bytes = 0;  ///< Of the response in progress.
   bool is_head_request = false;
   bool idle = false;
   std::string request_id;                 ///< Of the request in progress.
@@ -254,7 +255,13 @@
     connection->parser->body_limit(LENTILCROSS_CONFIG_MAX_BODY);
     connection->parser->header_limit(kMaxHeaderBytes);
     connection->parser->skip(connection->is_head_request);
-    http::async_read(
+    connection->parser->eager(true);
+    ReadMore(connection);
+  }
+
+  /// Reads in parts, because what all responses hold is limited.
+  void ReadMore(const ConnectionPtr& connection) {
+    http::async_read_some(
         connection->socket, connection->buffer, *connection->parser,
         [self = shared_from_this(), connection](error_code error, std::size_t) {
           if (connection->handle == 0) return;
@@ -264,10 +271,38 @@
                 "incomplete response from the target: " + error.message());
             return;
           }
-          self->OnResponse(connection);
+          if (connection->parser->is_done()) {
+            self->OnResponse(connection);
+            return;
+          }
+          self->SetHeldBytes(*connection,
+                             connection->buffer.size() +
+                                 connection->parser->get().body().capacity());
+          self->LimitHeldBytes();
+          if (connection->handle != 0) self->ReadMore(connection);
         });
   }
 
+  void SetHeldBytes(Connection& connection, std::size_t bytes) {
+    stats.held_bytes = stats.held_bytes - connection.held_bytes + bytes;
+    connection.held_bytes = bytes;
+  }
+
+  void LimitHeldBytes() {
+    while (stats.held_bytes > init.max_held_bytes) {
+      const auto largest = std::max_element(
+          running.begin(), running.end(),
+          [](const auto& one, const auto& other) {
+            return one.second->held_bytes < other.second->held_bytes;
+          });
+      ++stats.held_full;
+      // Copied, because `Fail` erases the entry.
+      const ConnectionPtr connection = largest->second;
+      Fail(connection, Failure::kSent,
+           "incomplete responses of targets hold too many bytes");
+    }
+  }
+
   void OnResponse(const ConnectionPtr& connection) {
     Parser& parser = *connection->parser;
     const bool interim = parser.get().result_int() < 200;
@@ -392,6 +427,7 @@
   std::function<void(TargetClient::Result&&)> Detach(
       const ConnectionPtr& connection) {
     running.erase(connection->handle);
+    SetHeldBytes(*connection, 0);
     connection->handle = 0;
     connection->may_write = nullptr;
     return std::exchange(connection->done, nullptr);
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -8,6 +8,7 @@
 
 #include "daemon_init.h"
 #include "http_types.h"
+#include "lentilcross/config.h"
 #include "target_connections.h"
 
 namespace lentilcross {
@@ -22,6 +23,9 @@
     /// Idle time after which a connection is not reused. A shorter time stated
     /// by the target takes precedence.
     Duration max_idle_time = std::chrono::seconds(60);
+    /// Bytes of incomplete responses, of all targets together. Above it, the
+    /// requests with the largest ones fail.
+    std::size_t max_held_bytes = LENTILCROSS_CONFIG_MAX_HELD_RESPONSES;
     HttpDialect dialect;
   };
   TargetClient(boost::asio::io_context& io, const Init& init);
--- a/tests/platform/odd_answers_test.cpp
+++ b/tests/platform/odd_answers_test.cpp
@@ -307,4 +307,40 @@
   }
 }
 
+// Guards against memory without bound where a target sends answers that do not
+// end on all of its connections at once, and against a wait for their time
+// limits before other targets are served.
+BOOST_AUTO_TEST_CASE(answers_without_end_on_many_connections) {
+  constexpr int kCalls = 120;
+  constexpr std::size_t kLimit = std::size_t{32} << 20;
+  const std::string head = "HTTP/1.1 200 OK\r\n" + Named("a") + "\r\n";
+  const ScriptedTarget endless({{head + std::string(600000, 'x'), ""}});
+  const ScriptedTarget sound({{Good("b"), ""}});
+  Caller caller;
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/book/1";
+  request.headers = {{"X-Lentilcross-Request-Id", "a"}};
+  int failed = 0;
+  std::vector<TargetClient::Handle> handles;
+  for (int i = 0; i < kCalls; ++i) {
+    handles.push_back(caller.client->Start(
+        endless.endpoint(), request, [] { return true; },
+        [&](TargetClient::Result&& result) {
+          failed += result.failure == Failure::kSent ? 1 : 0;
+        }));
+  }
+  const auto result = caller.Call(sound, "b", kTime, std::chrono::seconds(2));
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST((result->failure == Failure::kNone));
+  BOOST_TEST(endless.written() >= kCalls * 600000U);
+  BOOST_TEST(caller.client->stats().held_bytes <= kLimit);
+  const int fitting = static_cast<int>(kLimit / 600000);
+  BOOST_TEST(failed >= kCalls - fitting);
+  // Those that fit are not cut.
+  BOOST_TEST(failed < kCalls);
+  for (const auto handle : handles) caller.client->Cancel(handle);
+  BOOST_TEST(caller.client->stats().held_bytes == 0U);
+}
+
 }  // namespace lentilcross::platform
