Stop ranking hosts at the first that cannot be a standby

A host of a large domain looked at all others of it several times in each tick to learn that it is neither reader nor standby. The ranking ends once enough hosts come before it, as it did for readers alone.

--- a/src/peer_choice.cpp
+++ b/src/peer_choice.cpp
@@ -77,7 +77,7 @@
 
 std::optional<PeerSelector::Rank> PeerSelector::RankOf(
     const HostTable& table, Version version_number,
-    const Membership& membership) const {
+    const Membership& membership, int limit) const {
   const auto own = table.readers_by_domain.find(failure_domain);
   if (own == table.readers_by_domain.end()) return std::nullopt;
   if (!Contains(own->second, self)) return std::nullopt;
@@ -88,7 +88,7 @@
     if (host == self || CombineHash(host.value(), version) < own_score) {
       continue;
     }
-    ++rank.ahead;
+    if (++rank.ahead >= limit) return std::nullopt;
     if (membership.IsUsable(host)) ++rank.usable_ahead;
   }
   return rank;
--- a/src/peer_choice.h
+++ b/src/peer_choice.h
@@ -32,13 +32,14 @@
 
   /// Position of this host in its failure domain, ordered by rendezvous hash of
   /// `version`: how many hosts come before it, and how many of them are usable.
-  /// Empty if it must not read the platform.
   struct Rank {
     int ahead = 0;
     int usable_ahead = 0;
   };
+  /// Empty if `limit` hosts come before it, or if it must not read the
+  /// platform.
   std::optional<Rank> RankOf(const HostTable& table, Version version,
-                             const Membership& membership) const;
+                             const Membership& membership, int limit) const;
   /// The usable ones among the first `count` hosts in that order, without
   /// `self`.
   std::vector<HostId> TopRanked(const HostTable& table, Version version,
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -376,11 +376,11 @@
 ReaderRole ConfigDistributor::Impl::RoleOf(const Membership& membership) const {
   const HostTable* table = hosts();
   if (table == nullptr) return ReaderRole::kOther;
-  const auto rank =
-      peer_selector_.RankOf(*table, history_.version(), membership);
   // A host that is cut off from all others sees them as unusable. It must not
   // become a reader for that reason, or all hosts would when each is cut off.
-  if (!rank || rank->ahead >= MaxReaderRank()) return ReaderRole::kOther;
+  const auto rank = peer_selector_.RankOf(*table, history_.version(),
+                                          membership, MaxReaderRank());
+  if (!rank) return ReaderRole::kOther;
   const int readers = init_.readers_per_domain;
   if (rank->usable_ahead < readers && rank->ahead < 2 * readers) {
     return ReaderRole::kReader;
