--- a/src/daemon_stats.h
+++ b/src/daemon_stats.h
@@ -57,8 +57,7 @@
   std::uint64_t pool_full = 0;
   std::uint64_t foreign_answers = 0;  ///< Named another request; dropped.
   std::uint64_t held_bytes = 0;       ///< Of incomplete responses, now.
-  std::uint64_t held_full =
-      0;  ///< Requests failed because these were too many.
+  std::uint64_t held_full = 0;        ///< Requests failed by their limit.
 };
 
 struct PipelineStats {
