--- a/include/lentilcross/registry.h
+++ b/include/lentilcross/registry.h
@@ -129,8 +129,8 @@
   bool lost_ = false;
   std::optional<Instant> requested_;      ///< Set while a request is open.
   std::optional<Instant> last_fallback_;  ///< Last need for a fallback read.
-  std::optional<Instant> standby_since_;  ///< Set while this is a standby.
-  RegistryDelta partial_snapshot_;        ///< Pieces received so far.
+  StandbyTimer standby_timer_;
+  RegistryDelta partial_snapshot_;  ///< Pieces received so far.
 };
 
 }  // namespace lentilcross
--- a/src/registry.cpp
+++ b/src/registry.cpp
@@ -300,15 +300,9 @@
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
           init_.stagger * kFallbackSecondsPerHost *
           static_cast<double>(state_.targets.size())));
-  if (Age(now) > init_.fallback_after + stagger) return true;
-  if (role != ReaderRole::kStandby) {
-    standby_since_.reset();
-    return false;
-  }
-  // A host that has just become a standby was sent no confirmations before.
-  if (!standby_since_) standby_since_ = now;
-  const Duration waited = std::min(Age(now), now - *standby_since_);
-  return waited > init_.takeover_after;
+  const bool overdue =
+      standby_timer_.IsOverdue(role, Age(now), init_.takeover_after, now);
+  return overdue || Age(now) > init_.fallback_after + stagger;
 }
 
 bool Registry::ShouldReadPlatform(ReaderRole role, Instant now) {
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -124,7 +124,7 @@
   bool peer_replied_ = false;
   bool platform_responded_ = false;
   bool confirmation_due_ = false;
-  std::optional<Instant> standby_since_;  ///< Set while this is a standby.
+  StandbyTimer standby_timer_;
   std::optional<Instant> last_takeover_;  ///< Last need to watch as a standby.
 };
 
@@ -172,7 +172,7 @@
   if (result == CallResult::kIgnored) {
     // The platform responds, so that readers read the same unusable document.
     last_takeover_.reset();
-    standby_since_ = now;
+    standby_timer_.Restart(now);
     return;
   }
   confirmation_due_ = true;
@@ -391,15 +391,11 @@
 }
 
 bool ConfigDistributor::Impl::IsTakeoverDue(ReaderRole role, Instant now) {
-  if (role != ReaderRole::kStandby) {
-    standby_since_.reset();
-    return false;
-  }
-  // A host that has just become a standby was sent no confirmations before.
-  if (!standby_since_) standby_since_ = now;
-  const Duration waited =
-      std::min(platform_schedule_.Age(now), now - *standby_since_);
-  if (waited > init_.takeover_after) last_takeover_ = now;
+  if (role != ReaderRole::kStandby) last_takeover_.reset();
+  if (standby_timer_.IsOverdue(role, platform_schedule_.Age(now),
+                               init_.takeover_after, now)) {
+    last_takeover_ = now;
+  }
   return last_takeover_ && now - *last_takeover_ < init_.min_takeover_time;
 }
 
