--- a/tests/platform/odd_answers_test.cpp
+++ b/tests/platform/odd_answers_test.cpp
@@ -323,6 +323,7 @@
   request.headers = {{"X-Lentilcross-Request-Id", "a"}};
   int failed = 0;
   std::vector<TargetClient::Handle> handles;
+  handles.reserve(kCalls);
   for (int i = 0; i < kCalls; ++i) {
     handles.push_back(caller.client->Start(
         endless.endpoint(), request, [] { return true; },
