--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -252,6 +252,10 @@
                 message.headers["x-lentilcross-request-id"])
         return fields
 
+    def answer(self, message, request):
+        """The body of an answer."""
+        return f"answer of {self.id} to {request}\n".encode()
+
     async def handle(self, message, reader, writer):
         """False if the connection has ended."""
         method, target, _ = message.first.split(" ")
@@ -299,7 +303,7 @@
         finally:
             self.running -= 1
             self.free.release()
-        body = f"answer of {self.id} to {request}\n".encode()
+        body = self.answer(message, request)
         gone.cancel()
         try:
             await gone
