Compute deltas on encoded documents, up to the size that is sent

Cause: each new version was compared with the last one as two parsed trees, whatever the result.

Change: the members of two encoded documents are compared in their order, and the patch is given up at the limit.

--- a/src/document_history.cpp
+++ b/src/document_history.cpp
@@ -20,9 +20,18 @@
 
 void DocumentHistory::Advance(DocumentPointer document, std::string patch) {
   if (current_) {
-    if (patch.empty()) patch = MakePatch(*current_, *document);
-    deltas_size_ += patch.size();
-    deltas_.push_back({current_->version(), std::move(patch)});
+    if (patch.empty()) {
+      auto made = MakePatch(*current_, *document, kMaxDeltaSize);
+      if (made) patch = std::move(*made);
+    }
+    if (patch.empty()) {
+      // Older versions cannot be transformed into the new one.
+      deltas_.clear();
+      deltas_size_ = 0;
+    } else {
+      deltas_size_ += patch.size();
+      deltas_.push_back({current_->version(), std::move(patch)});
+    }
   }
   while (deltas_.size() > LENTILCROSS_CONFIG_KEPT_DELTAS ||
          deltas_size_ > kMaxDeltasSize) {
--- a/src/document_history.h
+++ b/src/document_history.h
@@ -4,11 +4,16 @@
 #include <string>
 #include <vector>
 
+#include "lentilcross/config.h"
 #include "lentilcross/peer_message.h"
 #include "published_document.h"
 
 namespace lentilcross {
 
+/// Peers with a version for which the changes are larger get a snapshot.
+inline constexpr std::size_t kMaxDeltaSize =
+    LENTILCROSS_CONFIG_MAX_PEER_MESSAGE / 2;
+
 /// The current document and the deltas from recent versions to it.
 class DocumentHistory {
  public:
@@ -17,7 +22,7 @@
 
   /// Replaces the current document by one with a higher version. `patch`
   /// transforms the current document into the new one; if empty, it is
-  /// computed.
+  /// computed, unless it would be larger than `kMaxDeltaSize`.
   void Advance(DocumentPointer document, std::string patch);
 
   /// Builds one delta from `have` to the current version. Returns false if
--- a/src/published_document.cpp
+++ b/src/published_document.cpp
@@ -5,6 +5,7 @@
 
 #include "cbor.h"
 #include "configuration_reader.h"
+#include "document_patch.h"
 #include "lentilcross/config.h"
 #include "published_text.h"
 
@@ -71,10 +72,10 @@
   return table;
 }
 
-std::string MakePatch(const PublishedDocument& from,
-                      const PublishedDocument& to) {
-  return ToCbor(
-      Json::diff(Json::from_cbor(from.cbor), Json::from_cbor(to.cbor)));
+std::optional<std::string> MakePatch(const PublishedDocument& from,
+                                     const PublishedDocument& to,
+                                     std::size_t max_size) {
+  return MakeCborPatch(from.cbor, to.cbor, max_size);
 }
 
 std::string JoinPatches(const std::vector<const std::string*>& patches) {
--- a/src/published_document.h
+++ b/src/published_document.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -39,9 +40,10 @@
 using DocumentPointer = std::shared_ptr<const PublishedDocument>;
 
 /// Returns a JSON Patch (RFC 6902), encoded as CBOR, that transforms `from`
-/// into `to`.
-std::string MakePatch(const PublishedDocument& from,
-                      const PublishedDocument& to);
+/// into `to`; nothing if it has more than `max_size` bytes.
+std::optional<std::string> MakePatch(const PublishedDocument& from,
+                                     const PublishedDocument& to,
+                                     std::size_t max_size);
 /// Concatenates the operations of several patches.
 std::string JoinPatches(const std::vector<const std::string*>& patches);
 
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -29,7 +29,6 @@
 // Larger deltas are not pushed. Peers learn of the version from a digest and
 // request it from one host.
 constexpr std::size_t kMaxPushedDelta = 65536;
-constexpr std::size_t kMaxDelta = LENTILCROSS_CONFIG_MAX_PEER_MESSAGE / 2;
 
 }  // namespace
 
@@ -235,7 +234,7 @@
   OutgoingList replies;
   if (!(request.have < history_.version())) return replies;
   ConfigDelta delta;
-  if (history_.MakeDelta(request.have, kMaxDelta, delta)) {
+  if (history_.MakeDelta(request.have, kMaxDeltaSize, delta)) {
     ++stats_.deltas_sent;
     replies.push_back({from, std::move(delta)});
     return replies;
