Keep no quota accounts for organisations without a limit

Cause: the limiter held an account, and visited it after each change of the fleet, for every organisation, although requests of those without a limit never ask it.

Change: such organisations are left out; one that loses its limit is treated like one that was removed.

--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -26,9 +26,12 @@
   owners.Apply(next);
   for (auto& [id, org] : orgs) {
     const auto it = next.organisations.find(id);
-    if (it == next.organisations.end()) ApplyTo(org, nullptr, now);
+    const bool limited =
+        it != next.organisations.end() && !it->second.unlimited;
+    if (!limited) ApplyTo(org, nullptr, now);
   }
   for (const auto& [id, entry] : next.organisations) {
+    if (entry.unlimited) continue;
     OrganisationState& org = orgs[id];
     org.id = id;
     org.total = {entry.rate * next.preset.rate_factor,
--- a/tests/rate_start_test.cpp
+++ b/tests/rate_start_test.cpp
@@ -97,6 +97,33 @@
   BOOST_TEST(limiter.value->tokens(kCoopers, later) > 90);
 }
 
+// Guards against an account that organisations without a limit would need, and
+// against a limit that does not hold after it was lifted for a while.
+BOOST_AUTO_TEST_CASE(unlimited_organisations_hold_no_quota) {
+  const RateLimiter::Init init = MakeInit(Duration::zero());
+  auto limiter =
+      Capture<RateLimiter>([&] { return RateLimiter::Create(init); });
+  BOOST_REQUIRE(limiter.value);
+  const auto limited = Capture<std::shared_ptr<const Configuration>>(
+      [] { return Configuration::Parse(kDocument); });
+  BOOST_REQUIRE(limited.value);
+  auto unlimited = std::make_shared<Configuration>(**limited.value);
+  unlimited->organisations.at(kCoopers).unlimited = true;
+  limiter.value->RecordContact(kStart, kStart);
+  limiter.value->Apply(unlimited, kStart);
+  BOOST_TEST(limiter.value->held(kCoopers, kStart + seconds(1)).rate == 0);
+  limiter.value->Apply(*limited.value, kStart + seconds(1));
+  const auto held_at = [&](Duration time) {
+    limiter.value->RecordContact(kStart + time, kStart + time);
+    return limiter.value->held(kCoopers, kStart + time).rate;
+  };
+  BOOST_TEST(held_at(seconds(2)) == 100);
+  limiter.value->Apply(unlimited, kStart + seconds(2));
+  BOOST_TEST(held_at(seconds(3)) == 0);
+  limiter.value->Apply(*limited.value, kStart + seconds(3));
+  BOOST_TEST(held_at(seconds(3) + init.handover) == 100);
+}
+
 BOOST_AUTO_TEST_CASE(start_wait_above_handover_is_rejected) {
   RateLimiter::Init init;
   init.self = HostId::FromName("a");
