Read documents of many small objects without a hash table for each

Cause: the parser kept a hash table of member names, and the reader a list of copied names, for every object.

Change: up to 16 names are compared one by one, in memory that is reused by the next object; the reader keeps views of the names it is asked for.

--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -16,6 +16,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMaxDepth = 32;
+constexpr std::size_t kUsualMembers = 12;
 
 struct Position {
   std::size_t line = 1;
@@ -96,15 +97,15 @@
            Base::start_object(size);
   }
   bool key(std::string& name) {
-    Level& level = levels_.back();
+    Level& level = levels_[depth_ - 1];
     level.name = name;
-    if (!level.names.insert(name).second) {
+    if (!level.names.Add(name)) {
       findings_.Add(Pointer(), "duplicate member");
     }
     return Base::key(name);
   }
   bool end_object() {
-    levels_.pop_back();
+    --depth_;
     return Base::end_object();
   }
   bool start_array(std::size_t size) {
@@ -112,7 +113,7 @@
            Base::start_array(size);
   }
   bool end_array() {
-    levels_.pop_back();
+    --depth_;
     return Base::end_array();
   }
   template <typename Exception>
@@ -126,40 +127,70 @@
   }
 
  private:
+  /// Member names of one object. Most objects have few members, and a hash
+  /// table for each would take longer than the rest of the parsing.
+  class NameSet {
+   public:
+    void Clear() {
+      size_ = 0;
+      // Clearing takes time in proportion to the buckets, which stay.
+      if (!rest_.empty()) rest_ = {};
+    }
+    /// False if the name was added before.
+    bool Add(const std::string& name) {
+      const auto end = first_.begin() + static_cast<std::ptrdiff_t>(size_);
+      if (std::find(first_.begin(), end, name) != end) return false;
+      if (size_ == first_.size()) return rest_.insert(name).second;
+      first_[size_++] = name;
+      return true;
+    }
+
+   private:
+    std::array<std::string, 16> first_;
+    std::size_t size_ = 0;  ///< Of `first_`.
+    std::unordered_set<std::string> rest_;
+  };
+
   struct Level {
     bool is_array = false;
-    std::size_t next = 0;  ///< Index of the next array element.
-    std::string name;      ///< Last member name or array index.
-    std::unordered_set<std::string> names;  ///< Members of an object so far.
+    std::size_t values = 0;  ///< Begun so far.
+    std::string name;        ///< Last member name, unless `is_array`.
+    NameSet names;           ///< Members of an object so far.
   };
 
-  /// Called for each value before its content; counts the array elements.
+  /// Called for each value before its content; counts the values.
   bool BeginValue() {
-    if (!levels_.empty() && levels_.back().is_array) {
-      Level& level = levels_.back();
-      level.name = std::to_string(level.next++);
-    }
+    if (depth_ > 0) ++levels_[depth_ - 1].values;
     return true;
   }
   bool EnterLevel(bool is_array) {
-    if (levels_.size() == kMaxDepth) {
+    if (depth_ == kMaxDepth) {
       findings_.Add(Pointer(), "nested too deeply");
       return false;
     }
-    levels_.push_back({is_array, 0, "", {}});
+    if (depth_ == levels_.size()) levels_.emplace_back();
+    Level& level = levels_[depth_++];
+    level.is_array = is_array;
+    level.values = 0;
+    level.name.clear();
+    level.names.Clear();
     return true;
   }
   std::string Pointer() const {
     std::string pointer;
-    for (const Level& level : levels_) {
-      pointer = JoinPointer(pointer, level.name);
+    for (std::size_t i = 0; i < depth_; ++i) {
+      const Level& level = levels_[i];
+      const bool has_element = level.is_array && level.values > 0;
+      pointer = JoinPointer(
+          pointer, has_element ? std::to_string(level.values - 1) : level.name);
     }
     return pointer;
   }
 
   std::string_view text_;
   Findings& findings_;
-  std::vector<Level> levels_;
+  std::vector<Level> levels_;  ///< More than `depth_`, to reuse their memory.
+  std::size_t depth_ = 0;
 };
 
 struct Unit {
@@ -216,7 +247,10 @@
 }
 
 std::string JoinPointer(const std::string& pointer, std::string_view name) {
-  std::string joined = pointer + "/";
+  std::string joined;
+  joined.reserve(pointer.size() + 1 + name.size());
+  joined += pointer;
+  joined += '/';
   for (const char c : name) {
     if (c == '~') {
       joined += "~0";
@@ -252,6 +286,7 @@
 ObjectReader::ObjectReader(const Json& value, std::string pointer,
                            Findings& findings)
     : pointer_(std::move(pointer)), findings_(findings) {
+  known_.reserve(kUsualMembers);
   if (value.is_object()) {
     object_ = &value;
   } else {
@@ -260,11 +295,11 @@
 }
 
 const Json* ObjectReader::Find(std::string_view name, Presence presence) {
-  known_.emplace_back(name);
+  known_.push_back(name);
   if (object_ == nullptr) return nullptr;
-  const auto found = object_->find(std::string(name));
+  const auto found = object_->find(name);
   if (found != object_->end()) return &*found;
-  if (presence == Presence::kRequired) missing_.emplace_back(name);
+  if (presence == Presence::kRequired) missing_.push_back(name);
   return nullptr;
 }
 
@@ -387,7 +422,7 @@
 
 void ObjectReader::FinishExtensible() {
   if (object_ == nullptr) return;
-  for (const std::string& name : missing_) Report(name, "missing field");
+  for (const std::string_view name : missing_) Report(name, "missing field");
 }
 
 std::string ObjectReader::PointerTo(std::string_view name) const {
@@ -400,10 +435,10 @@
 
 void ObjectReader::ReportUnknown(const std::string& name) {
   const auto [stem, given] = SplitUnit(name);
-  for (const std::string& known : known_) {
+  for (const std::string_view known : known_) {
     const auto [known_stem, unit] = SplitUnit(known);
     if (known_stem != stem || (unit == nullptr && given == nullptr)) continue;
-    Report(name, "wrong unit: expected \"" + known + "\"" +
+    Report(name, "wrong unit: expected \"" + std::string(known) + "\"" +
                      (unit == nullptr ? " without a unit"
                                       : " in " + std::string(unit->name)));
     // One finding is enough: the member is not reported as missing as well.
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -34,7 +34,8 @@
 /// Reads and validates the members of a JSON object. An invalid member adds a
 /// finding with its JSON pointer and leaves the output unchanged. `Finish`
 /// reports missing and unknown members, and members with a wrong unit suffix
-/// (`timeout_s` instead of `timeout_ms`).
+/// (`timeout_s` instead of `timeout_ms`). Keeps the names of members that it is
+/// asked for, which must outlive it.
 class ObjectReader {
  public:
   /// Adds a finding if `value` is not an object.
@@ -109,8 +110,8 @@
   const nlohmann::json* object_ = nullptr;
   std::string pointer_;
   Findings& findings_;
-  std::vector<std::string> known_;    ///< Names of all members asked for.
-  std::vector<std::string> missing_;  ///< Required members not found.
+  std::vector<std::string_view> known_;    ///< Names of all members asked for.
+  std::vector<std::string_view> missing_;  ///< Required members not found.
 };
 
 }  // namespace lentilcross
