Hold keys by digest alone, and bound the value instead of its translation

Cause: the adapter translated a version into the product's document and handed over its text, to which the limit for a value of the platform was applied. A key took about 145 bytes there and 23 in the value. Large versions of routes or organisations failed in the same way.

Evidence: log event configuration-refused, "published value larger than 1048576 bytes", of all daemons; with the limit alone lifted, 176,000 short keys would take some 25 MB in the document and several times that while it is parsed.

Change: keys of tenants, which have no name, are written as groups of digests of 18 bytes (key_digests), so that the document stays below 4.3 MB for any value, a change of a key is a delta of one group, and copies of a configuration share the keys. The source hands the parsed document over; only text of the platform's own form has the limit of a value. Peer protocol 5, because older processes refuse such documents: a fleet of both versions is two fleets.

--- a/include/lentilcross/configuration.h
+++ b/include/lentilcross/configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -101,6 +103,15 @@
   bool withdrawn = false;  ///< Revoked; requests with it are refused.
 };
 
+/// The first bytes of the SHA-256 of a key.
+using KeyDigest = std::array<std::uint8_t, 18>;
+
+/// A key that is known by its digest alone. It is withdrawn by leaving it out.
+struct UnnamedKey {
+  KeyDigest digest{};
+  OrganisationId organisation;
+};
+
 struct PresetEntry {
   std::string name;
   double rate_factor = 1.0;   ///< Multiplies all rates and bursts.
@@ -137,6 +148,10 @@
   std::unordered_map<RouteId, std::size_t> route_index;
   std::unordered_map<OrganisationId, OrganisationEntry> organisations;
   std::unordered_map<KeyId, KeyEntry> keys;
+  /// Sorted by digest; never null. Shared by copies of the configuration, as
+  /// there may be many times as many keys as other entries.
+  std::shared_ptr<const std::vector<UnnamedKey>> unnamed_keys =
+      std::make_shared<std::vector<UnnamedKey>>();
   std::map<std::string, PresetEntry> presets;
   CallerLimits limits;
 
--- a/include/lentilcross/keys.h
+++ b/include/lentilcross/keys.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <cstdint>
+#include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "lentilcross/configuration.h"
 #include "lentilcross/error.h"
@@ -24,19 +28,25 @@
 /// Compares in time independent of the content.
 bool EqualConstantTime(const Sha256Digest& a, const Sha256Digest& b);
 
+KeyDigest ToKeyDigest(const Sha256Digest& digest);
+/// Searches keys that are sorted by digest. Null if there is none.
+const UnnamedKey* FindUnnamedKey(const std::vector<UnnamedKey>& keys,
+                                 const KeyDigest& digest);
+
 /// The API keys of the current configuration, found by their digests.
 class KeyRing {
  public:
   struct Lookup {
     Reason reason = Reason::kUnknownKey;  ///< `kNone` if the key is valid.
-    KeyId key;
+    KeyId key;                            ///< Invalid if the key has no name.
+    KeyDigest digest{};
     OrganisationId organisation;
     /// Configuration version that introduced this digest and organisation.
     Version since_version;
   };
 
-  /// Replaces all keys by those of `configuration`. Ignores a version lower
-  /// than the last one applied.
+  /// Replaces all keys by those of `configuration`. Ignores a version that is
+  /// not higher than the last one applied.
   void Apply(const Configuration& configuration);
 
   /// Looks up a key in plain text by its SHA-256 digest. The reason is `kNone`,
@@ -57,11 +67,18 @@
   /// Version that introduced the digest and organisation of `key`: `version` if
   /// they are new or changed.
   Version SinceVersion(const KeyEntry& key, Version version) const;
+  void ApplyUnnamed(const Configuration& configuration);
+  /// Index of a key in `unnamed_`, if it is there.
+  std::optional<std::size_t> FindUnnamed(const KeyDigest& digest) const;
 
   Version version_;
   std::unordered_map<KeyId, Entry> entries_;
   /// By the first 64 bits of the digest.
   std::unordered_multimap<std::uint64_t, KeyId> by_digest_;
+  std::shared_ptr<const std::vector<UnnamedKey>> unnamed_ =
+      std::make_shared<std::vector<UnnamedKey>>();
+  /// Version that introduced each of `unnamed_`.
+  std::vector<Version> unnamed_since_;
 };
 
 }  // namespace lentilcross
--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -14,7 +14,7 @@
 
 namespace lentilcross {
 
-inline constexpr int kPeerProtocolVersion = 4;
+inline constexpr int kPeerProtocolVersion = 5;
 
 /// Longest duration in a peer message. `Encode` limits longer ones to it and
 /// negative ones to 0.
--- a/include/lentilcross/spread.h
+++ b/include/lentilcross/spread.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string_view>
 #include <vector>
 
@@ -77,6 +78,8 @@
   /// Handles a document read from the platform. Fails with `Findings` if it is
   /// invalid, but only once for the same document.
   Result<void> OnPlatformDocument(std::string_view text, Instant now);
+  Result<void> OnParsedPlatformDocument(const nlohmann::json& document,
+                                        Instant now);
   /// Call when the platform has no version newer than the current one.
   void OnPlatformUnchanged(Instant now);
   void OnPlatformFailure(Instant now);
--- a/src/configuration_reader.cpp
+++ b/src/configuration_reader.cpp
@@ -9,7 +9,9 @@
 #include <utility>
 
 #include "json_reader.h"
+#include "key_digests.h"
 #include "lentilcross/config.h"
+#include "lentilcross/keys.h"
 #include "lentilcross/peer_message.h"
 
 namespace lentilcross {
@@ -167,6 +169,8 @@
   void IndexRoutes();
   void ReadOrganisations();
   void ReadKeys();
+  /// Sorts the keys without a name and checks that no digest occurs twice.
+  void IndexUnnamedKeys(const std::map<Sha256Digest, std::string>& named);
   void ReadPresets();
   PresetEntry ReadPreset(const std::string& name, const Json& value,
                          const std::string& pointer);
@@ -196,6 +200,7 @@
   Findings& findings_;
   NameTable target_names_{findings_};
   NameTable route_names_{findings_};
+  std::vector<UnnamedKey> unnamed_keys_;
   std::shared_ptr<Configuration> result_ = std::make_shared<Configuration>();
 };
 
@@ -490,6 +495,11 @@
         reader.Integer("precedence", Presence::kOptional, 0, kMaxPrecedence,
                        entry.precedence);
         ReadHomeRegions(reader, entry.home_regions);
+        if (const Json* digests =
+                reader.Find("key_digests", Presence::kOptional)) {
+          ReadKeyDigests(*digests, JoinPointer(pointer, "key_digests"),
+                         entry.id, findings_, unnamed_keys_);
+        }
         reader.Finish();
         if (name == kPublicOrganisation) {
           findings_.Add(pointer,
@@ -531,6 +541,31 @@
           result_->keys.emplace(entry.id, std::move(entry));
         }
       });
+  IndexUnnamedKeys(digests);
+}
+
+void Reader::IndexUnnamedKeys(
+    const std::map<Sha256Digest, std::string>& named) {
+  auto& keys = unnamed_keys_;
+  std::sort(keys.begin(), keys.end(),
+            [](const UnnamedKey& a, const UnnamedKey& b) {
+              return a.digest < b.digest;
+            });
+  const auto twice = std::adjacent_find(
+      keys.begin(), keys.end(), [](const UnnamedKey& a, const UnnamedKey& b) {
+        return a.digest == b.digest;
+      });
+  if (twice != keys.end()) {
+    root_.Report("organisations",
+                 "duplicate: a digest occurs twice in key_digests");
+  }
+  for (const auto& [digest, name] : named) {
+    if (FindUnnamedKey(keys, ToKeyDigest(digest)) == nullptr) continue;
+    root_.Report("organisations", "duplicate: key_digests has the digest of " +
+                                      ("key \"" + name + "\""));
+  }
+  result_->unnamed_keys =
+      std::make_shared<const std::vector<UnnamedKey>>(std::move(keys));
 }
 
 void Reader::ReadPresets() {
--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -48,6 +48,7 @@
   for (const auto& [id, key] : configuration.keys) {
     record.keys.push_back({key.name, name_of(key.organisation), key.withdrawn});
   }
+  record.unnamed_keys = configuration.unnamed_keys->size();
   for (const auto& [id, organisation] : configuration.organisations) {
     record.rates.push_back(
         {organisation.name, organisation.rate, organisation.burst});
@@ -88,9 +89,9 @@
 
   PlatformSource::Hooks MakePlatformHooks() {
     PlatformSource::Hooks hooks;
-    hooks.on_document = [this](const std::string& text,
+    hooks.on_document = [this](const PlatformSource::Document& document,
                                const std::string& source, Instant began) {
-      OnDocument(text, source, began);
+      OnDocument(document, source, began);
     };
     hooks.on_unchanged = [this](Instant began) {
       spread.OnPlatformUnchanged(steady_clock::now());
@@ -174,9 +175,14 @@
 
   // ----- Events
 
-  void OnDocument(const std::string& text, const std::string& source,
-                  Instant began) {
-    auto result = spread.OnPlatformDocument(text, steady_clock::now());
+  void OnDocument(const PlatformSource::Document& document,
+                  const std::string& source, Instant began) {
+    const Instant now = steady_clock::now();
+    const auto* text = std::get_if<std::string>(&document);
+    auto result = text != nullptr
+                      ? spread.OnPlatformDocument(*text, now)
+                      : spread.OnParsedPlatformDocument(
+                            std::get<nlohmann::json>(document), now);
     if (!result) LogFindings(source);
     Publish(source);
     OnPlatformContact(began);
--- a/src/daemon_init.h
+++ b/src/daemon_init.h
@@ -49,6 +49,7 @@
   Version version;
   std::string preset;
   std::vector<AuditKey> keys;
+  std::size_t unnamed_keys = 0;  ///< Number of further keys.
   std::vector<AuditRate> rates;
   std::string source;  ///< Host name of a peer, or "ip:port" of the platform.
   std::chrono::system_clock::time_point taken_over{};
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -361,9 +361,11 @@
     Report(name, "wrong type: expected an integer");
     return false;
   }
-  const auto number = value->is_number_unsigned() ? value->get<std::uint64_t>()
-                                                  : std::uint64_t{0};
-  if (!value->is_number_unsigned() || number < min || number > max) {
+  // A parsed number is signed only if it is negative, a composed one may be.
+  const bool negative =
+      !value->is_number_unsigned() && value->get<std::int64_t>() < 0;
+  const auto number = negative ? 0 : value->get<std::uint64_t>();
+  if (negative || number < min || number > max) {
     Report(name, RangeText(std::to_string(min), std::to_string(max)));
     return false;
   }
--- a/src/keys.cpp
+++ b/src/keys.cpp
@@ -4,6 +4,7 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <algorithm>
 #include <cstring>
 #include <limits>
 #include <stdexcept>
@@ -21,9 +22,13 @@
 }  // namespace
 
 Sha256Digest Sha256(std::string_view bytes) {
+  // EVP_sha256 would make each call look the algorithm up by its name.
+  static const EVP_MD* const kAlgorithm =
+      EVP_MD_fetch(nullptr, "SHA256", nullptr);
   Sha256Digest digest{};
-  if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), nullptr,
-                 EVP_sha256(), nullptr) != 1) {
+  if (kAlgorithm == nullptr ||
+      EVP_Digest(bytes.data(), bytes.size(), digest.data(), nullptr, kAlgorithm,
+                 nullptr) != 1) {
     throw std::runtime_error("SHA-256 is not available");
   }
   return digest;
@@ -45,12 +50,29 @@
   return mac;
 }
 
+KeyDigest ToKeyDigest(const Sha256Digest& digest) {
+  KeyDigest prefix{};
+  std::copy_n(digest.begin(), prefix.size(), prefix.begin());
+  return prefix;
+}
+
+const UnnamedKey* FindUnnamedKey(const std::vector<UnnamedKey>& keys,
+                                 const KeyDigest& digest) {
+  const auto it =
+      std::lower_bound(keys.begin(), keys.end(), digest,
+                       [](const UnnamedKey& key, const KeyDigest& wanted) {
+                         return key.digest < wanted;
+                       });
+  return it == keys.end() || it->digest != digest ? nullptr : &*it;
+}
+
 bool EqualConstantTime(const Sha256Digest& a, const Sha256Digest& b) {
   return CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
 void KeyRing::Apply(const Configuration& configuration) {
-  if (configuration.version < version_) return;
+  // A new fleet of hosts comes with an unchanged version.
+  if (configuration.version <= version_) return;
   std::unordered_map<KeyId, Entry> entries;
   entries.reserve(configuration.keys.size());
   by_digest_.clear();
@@ -59,9 +81,26 @@
     by_digest_.emplace(DigestPrefix(key.sha256), id);
   }
   entries_ = std::move(entries);
+  ApplyUnnamed(configuration);
   version_ = configuration.version;
 }
 
+void KeyRing::ApplyUnnamed(const Configuration& configuration) {
+  const std::vector<UnnamedKey>& keys = *configuration.unnamed_keys;
+  std::vector<Version> since(keys.size(), configuration.version);
+  auto known = unnamed_->begin();
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    while (known != unnamed_->end() && known->digest < keys[i].digest) ++known;
+    if (known == unnamed_->end()) break;
+    if (known->digest != keys[i].digest) continue;
+    if (known->organisation != keys[i].organisation) continue;
+    since[i] =
+        unnamed_since_[static_cast<std::size_t>(known - unnamed_->begin())];
+  }
+  unnamed_ = configuration.unnamed_keys;
+  unnamed_since_ = std::move(since);
+}
+
 KeyRing::Lookup KeyRing::Find(std::string_view presented) const {
   Lookup lookup;
   if (presented.empty()) {
@@ -72,6 +111,7 @@
   // key. It reveals nothing about the digests of other keys, because a caller
   // cannot choose a key by its digest.
   const Sha256Digest digest = Sha256(presented);
+  lookup.digest = ToKeyDigest(digest);
   const auto [first, last] = by_digest_.equal_range(DigestPrefix(digest));
   for (auto it = first; it != last; ++it) {
     const Entry& entry = entries_.at(it->second);
@@ -83,11 +123,27 @@
     // If several keys have this digest and one is withdrawn, none is valid.
     if (entry.key.withdrawn) break;
   }
+  if (lookup.key.valid()) return lookup;
+  if (const auto index = FindUnnamed(lookup.digest)) {
+    lookup.organisation = (*unnamed_)[*index].organisation;
+    lookup.since_version = unnamed_since_[*index];
+    lookup.reason = Reason::kNone;
+  }
   return lookup;
 }
 
+std::optional<std::size_t> KeyRing::FindUnnamed(const KeyDigest& digest) const {
+  const UnnamedKey* key = FindUnnamedKey(*unnamed_, digest);
+  if (key == nullptr) return std::nullopt;
+  return static_cast<std::size_t>(key - unnamed_->data());
+}
+
 bool KeyRing::IsStillValid(const Lookup& found) const {
   if (found.reason != Reason::kNone) return false;
+  if (!found.key.valid()) {
+    const auto index = FindUnnamed(found.digest);
+    return index && unnamed_since_[*index] == found.since_version;
+  }
   const auto it = entries_.find(found.key);
   if (it == entries_.end()) return false;
   const Entry& entry = it->second;
--- a/src/platform_source.h
+++ b/src/platform_source.h
@@ -3,7 +3,9 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "daemon_stats.h"
@@ -19,13 +21,15 @@
 /// thread `control`.
 class PlatformSource {
  public:
+  /// A document as text, in the platform's form, or parsed.
+  using Document = std::variant<std::string, nlohmann::json>;
   struct HostState {
     std::string name;
     bool leaving = false;
   };
   struct Hooks {
     /// `source` is the "ip:port" that answered; `began` is when it was asked.
-    std::function<void(const std::string& text, const std::string& source,
+    std::function<void(const Document& document, const std::string& source,
                        Instant began)>
         on_document;
     std::function<void(Instant began)> on_unchanged;
--- a/src/published_document.cpp
+++ b/src/published_document.cpp
@@ -95,6 +95,10 @@
   return Build(*json, findings);
 }
 
+DocumentPointer DocumentStore::FromJson(const Json& json, Findings& findings) {
+  return Build(json, findings);
+}
+
 DocumentPointer DocumentStore::FromCbor(std::string_view bytes,
                                         Findings& findings) {
   if (bytes.size() > kMaxCborSize) {
@@ -117,7 +121,9 @@
     return Fail(findings, "operation not allowed in a patch");
   }
   try {
-    return Build(Json::from_cbor(base.cbor).patch(*operations), findings);
+    Json document = Json::from_cbor(base.cbor);
+    document.patch_inplace(*operations);
+    return Build(document, findings);
   } catch (const Json::exception&) {
     return Fail(findings, "patch does not apply");
   }
--- a/src/published_document.h
+++ b/src/published_document.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -54,6 +55,7 @@
   virtual ~DocumentStore() = default;
 
   virtual DocumentPointer FromText(std::string_view text, Findings& findings);
+  DocumentPointer FromJson(const nlohmann::json& json, Findings& findings);
   virtual DocumentPointer FromCbor(std::string_view bytes, Findings& findings);
   /// Accepts only the operations add, remove, replace and test: with repeated
   /// copies, a short patch could build a document of any size.
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -1,6 +1,7 @@
 #include "lentilcross/spread.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
@@ -43,6 +44,8 @@
         peer_selector_{init.self, init.failure_domain} {}
 
   Result<void> OnPlatformDocument(std::string_view text, Instant now);
+  Result<void> OnParsedPlatformDocument(const nlohmann::json& json,
+                                        Instant now);
   void OnPlatformResult(CallResult result, Instant now);
   OutgoingList OnMessage(HostId from, const PeerMessage& message, Instant now);
   OutgoingList Tick(Membership& membership, Instant now, Random& random);
@@ -79,6 +82,9 @@
   OutgoingList OnDelta(HostId from, const ConfigDelta& delta, Instant now);
   OutgoingList OnSnapshot(HostId from, const ConfigSnapshot& piece,
                           Instant now);
+  void Accept(DocumentPointer document, Instant now);
+  /// Fails with the findings of an invalid document, but only once for each.
+  Result<void> Refuse(std::uint64_t hash, Findings findings, Instant now);
   /// Requests the changes since `have`, unless a request is pending.
   OutgoingList RequestUpdate(HostId from, Version have, Instant now);
   OutgoingList Push(const Membership& membership, Instant now, Random& random);
@@ -142,24 +148,42 @@
   }
   Findings findings;
   DocumentPointer document = document_store_->FromText(text, findings);
+  if (!document) return Refuse(hash, std::move(findings), now);
+  Accept(std::move(document), now);
+  return {};
+}
+
+Result<void> ConfigDistributor::Impl::OnParsedPlatformDocument(
+    const nlohmann::json& json, Instant now) {
+  Findings findings;
+  DocumentPointer document = document_store_->FromJson(json, findings);
   if (!document) {
-    OnPlatformResult(CallResult::kIgnored, now);
-    rejected_text_hash_ = hash;
-    ++stats_.rejected;
-    findings_ = findings;
-    return boost::leaf::new_error(std::move(findings));
+    return Refuse(HashName(json.dump()), std::move(findings), now);
   }
+  Accept(std::move(document), now);
+  return {};
+}
+
+Result<void> ConfigDistributor::Impl::Refuse(std::uint64_t hash,
+                                             Findings findings, Instant now) {
+  OnPlatformResult(CallResult::kIgnored, now);
+  if (std::exchange(rejected_text_hash_, hash) == hash) return {};
+  ++stats_.rejected;
+  findings_ = findings;
+  return boost::leaf::new_error(std::move(findings));
+}
+
+void ConfigDistributor::Impl::Accept(DocumentPointer document, Instant now) {
   if (document->version() <= history_.version()) {
     const bool equal = document->version() == history_.version();
     if (!equal) ++stats_.ignored_older;
     OnPlatformResult(equal ? CallResult::kConfirmed : CallResult::kIgnored,
                      now);
-    return {};
+    return;
   }
   Apply(std::move(document), "");
   first_hand_version_ = history_.version();
   OnPlatformResult(CallResult::kApplied, now);
-  return {};
 }
 
 void ConfigDistributor::Impl::OnPlatformResult(CallResult result, Instant now) {
@@ -511,6 +535,10 @@
                                                    Instant now) {
   return impl_->OnPlatformDocument(text, now);
 }
+Result<void> ConfigDistributor::OnParsedPlatformDocument(
+    const nlohmann::json& document, Instant now) {
+  return impl_->OnParsedPlatformDocument(document, now);
+}
 void ConfigDistributor::OnPlatformUnchanged(Instant now) {
   impl_->OnPlatformResult(CallResult::kConfirmed, now);
 }
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -201,6 +201,21 @@
      "/routes/~1stock/service", "dangling reference to \"freight\""},
     {"\"organisation\": \"coopers\"", "\"organisation\": \"redriver\"",
      "/keys/coopers-2026a/organisation", "dangling reference to \"redriver\""},
+    // Key digests.
+    {"\"burst\": 100", "\"burst\": 100, \"key_digests\": []",
+     "/organisations/coopers/key_digests", "wrong type: expected an object"},
+    {"\"burst\": 100", "\"burst\": 100, \"key_digests\": {\"\": \"QUFB\"}",
+     "/organisations/coopers/key_digests/", "out of range"},
+    {"\"burst\": 100", "\"burst\": 100, \"key_digests\": {\"x\": \"\"}",
+     "/organisations/coopers/key_digests/x", "out of range"},
+    {"\"burst\": 100",
+     "\"burst\": 100, \"key_digests\": "
+     "{\"\": \"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA\"}",
+     "/organisations", "duplicate: a digest occurs twice"},
+    {"\"burst\": 100",
+     "\"burst\": 100, \"key_digests\": "
+     "{\"\": \"n4bQgYhMfWWaL+qgxVrQFaO/\"}",
+     "/organisations", "duplicate: key_digests has the digest of key"},
     // Home regions.
     {"\"rate\": 200", "\"rate\": 200, \"home_regions\": [\"ontario\"]",
      "/organisations/coopers/home_regions/0",
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -1,7 +1,9 @@
 #include "lentilcross/keys.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
 namespace lentilcross {
 namespace {
@@ -34,6 +36,22 @@
   configuration.keys[entry.id] = entry;
 }
 
+void AddUnnamedKeys(Configuration& configuration,
+                    const std::string& organisation,
+                    const std::vector<std::string>& keys) {
+  auto all = *configuration.unnamed_keys;
+  for (const std::string& key : keys) {
+    all.push_back(
+        {ToKeyDigest(Sha256(key)), OrganisationId::FromName(organisation)});
+  }
+  std::sort(all.begin(), all.end(),
+            [](const UnnamedKey& a, const UnnamedKey& b) {
+              return a.digest < b.digest;
+            });
+  configuration.unnamed_keys =
+      std::make_shared<const std::vector<UnnamedKey>>(std::move(all));
+}
+
 }  // namespace
 
 // Guards against digests that differ from those of common tools, with which
@@ -118,4 +136,43 @@
   BOOST_TEST((ring.Find("removed").reason == Reason::kUnknownKey));
 }
 
+// Guards against a key without a name that stays valid after it was left out or
+// assigned to another organisation, and against one that is refused because
+// other keys changed.
+BOOST_AUTO_TEST_CASE(unnamed_keys_follow_the_versions) {
+  Configuration first = MakeConfiguration(1);
+  AddKey(first, "named", "coopers", "key-n");
+  AddUnnamedKeys(first, "coopers", {"kept", "removed", "moved"});
+  KeyRing ring;
+  ring.Apply(first);
+  const auto kept = ring.Find("kept");
+  const auto removed = ring.Find("removed");
+  const auto moved = ring.Find("moved");
+  BOOST_TEST((kept.reason == Reason::kNone));
+  BOOST_TEST((kept.organisation == OrganisationId::FromName("coopers")));
+  BOOST_TEST((ring.Find("key-n").reason == Reason::kNone));
+  BOOST_TEST((ring.Find("other").reason == Reason::kUnknownKey));
+
+  Configuration second = MakeConfiguration(2);
+  AddKey(second, "named", "coopers", "key-n");
+  AddUnnamedKeys(second, "coopers", {"added", "kept"});
+  AddUnnamedKeys(second, "redriver", {"moved"});
+  ring.Apply(second);
+  BOOST_TEST(ring.IsStillValid(kept));
+  BOOST_TEST(!ring.IsStillValid(removed));
+  BOOST_TEST(!ring.IsStillValid(moved));
+  BOOST_TEST((ring.Find("removed").reason == Reason::kUnknownKey));
+  BOOST_TEST((ring.Find("moved").organisation ==
+              OrganisationId::FromName("redriver")));
+  BOOST_TEST(ring.IsStillValid(ring.Find("added")));
+
+  // A key that comes back does not revive what was found before.
+  Configuration third = MakeConfiguration(3);
+  AddUnnamedKeys(third, "coopers", {"removed", "kept"});
+  ring.Apply(third);
+  BOOST_TEST(ring.IsStillValid(kept));
+  BOOST_TEST(!ring.IsStillValid(removed));
+  BOOST_TEST((ring.Find("removed").reason == Reason::kNone));
+}
+
 }  // namespace lentilcross
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -29,8 +29,10 @@
     init.watch_wait = milliseconds(200);
     init.timeout = milliseconds(300);
     PlatformSource::Hooks hooks;
-    hooks.on_document = [this](const std::string& text, const std::string&,
-                               Instant) { documents.push_back(text); };
+    hooks.on_document = [this](const PlatformSource::Document& document,
+                               const std::string&, Instant) {
+      documents.push_back(std::get<nlohmann::json>(document).dump());
+    };
     hooks.on_unchanged = [this](Instant) { ++unchanged; };
     hooks.on_failure = [this](const std::string&) { ++failures; };
     hooks.on_registry = [this](const Fleet& whole) {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -21,16 +21,16 @@
 
 const DomainRegions kDomains = {{"zone-a", "east"}, {"zone-b", "west"}};
 
-Captured<std::string> Translate(const Json& configuration) {
-  return Capture<std::string>(
+Captured<Json> Translate(const Json& configuration) {
+  return Capture<Json>(
       [&] { return TranslateConfiguration(configuration.dump(), kDomains); });
 }
 
 ConfigurationPointer Read(const Json& source) {
-  const auto text = Translate(source);
-  BOOST_REQUIRE_MESSAGE(text.value, text.findings.Format("op/config"));
+  const auto document = Translate(source);
+  BOOST_REQUIRE_MESSAGE(document.value, document.findings.Format("op/config"));
   const auto read = Capture<ConfigurationPointer>(
-      [&] { return Configuration::Parse(*text.value); });
+      [&] { return Configuration::Parse(document.value->dump()); });
   BOOST_REQUIRE_MESSAGE(read.value, read.findings.Format("document"));
   return *read.value;
 }
@@ -125,9 +125,10 @@
 
 // Guards against a key in the document that peers exchange and operators see.
 BOOST_AUTO_TEST_CASE(keys_are_published_as_digests) {
-  const auto text = Translate(MakeOperatorConfiguration(1));
-  BOOST_REQUIRE(text.value);
-  BOOST_TEST(text.value->find("key-of-coopers") == std::string::npos);
+  const auto document = Translate(MakeOperatorConfiguration(1));
+  BOOST_REQUIRE(document.value);
+  BOOST_TEST(document.value->dump().find("key-of-coopers") ==
+             std::string::npos);
   KeyRing keys;
   keys.Apply(*Read(MakeOperatorConfiguration(1)));
   const auto found = keys.Find("key-of-coopers");
@@ -158,9 +159,9 @@
     patch) {
   Json source = MakeOperatorConfiguration(1);
   source.merge_patch(Json::parse(patch));
-  const auto text = Translate(source);
-  BOOST_TEST(!text.value);
-  BOOST_TEST(!text.findings.empty());
+  const auto document = Translate(source);
+  BOOST_TEST(!document.value);
+  BOOST_TEST(!document.findings.empty());
 }
 
 BOOST_AUTO_TEST_CASE(registration_names_host_and_peer) {
