Bound the audit trail in bytes

Cause: the trail held 256 records with a line for each key and organisation of the version, whatever their number: 256 versions of 65,000 organisations are about 1 GB (estimate from 60 bytes each).

Change: 8 MB in all, with the newest record in any case; a record lists 10,000 keys and 10,000 organisations at most, and counts all of them. Keys without a name are counted.

Measured: operator_test, audit_trail_is_bounded_in_bytes.

--- a/src/audit.cpp
+++ b/src/audit.cpp
@@ -1,5 +1,6 @@
 #include "audit.h"
 
+#include <algorithm>
 #include <array>
 #include <ctime>
 #include <nlohmann/json.hpp>
@@ -21,9 +22,20 @@
   return std::string(text.data()) + "." + milliseconds.substr(1) + "Z";
 }
 
-nlohmann::json KeysOf(const AuditRecord& record) {
+std::size_t KeyCount(const AuditRecord& record) {
+  return record.keys.size() + record.unnamed_keys;
+}
+
+std::size_t WithdrawnCount(const AuditRecord& record) {
+  return static_cast<std::size_t>(
+      std::count_if(record.keys.begin(), record.keys.end(),
+                    [](const AuditKey& key) { return key.withdrawn; }));
+}
+
+nlohmann::json KeysOf(const AuditRecord& record, std::size_t max) {
   auto keys = nlohmann::json::array();
   for (const auto& [name, organisation, withdrawn] : record.keys) {
+    if (keys.size() == max) break;
     keys.push_back({{"name", name},
                     {"organisation", organisation},
                     {"withdrawn", withdrawn}});
@@ -31,9 +43,10 @@
   return keys;
 }
 
-nlohmann::json RatesOf(const AuditRecord& record) {
+nlohmann::json RatesOf(const AuditRecord& record, std::size_t max) {
   auto rates = nlohmann::json::array();
   for (const auto& [organisation, rate, burst] : record.rates) {
+    if (rates.size() == max) break;
     rates.push_back(
         {{"organisation", organisation}, {"rate", rate}, {"burst", burst}});
   }
@@ -48,15 +61,21 @@
   const nlohmann::json line = {{"number", number},
                                {"version", record.version.value()},
                                {"preset", record.preset},
-                               {"keys", KeysOf(record)},
-                               {"rates", RatesOf(record)},
+                               {"keys", KeysOf(record, init_.max_listed)},
+                               {"key_count", KeyCount(record)},
+                               {"withdrawn_count", WithdrawnCount(record)},
+                               {"rates", RatesOf(record, init_.max_listed)},
+                               {"organisation_count", record.rates.size()},
                                {"source", record.source},
                                {"time", FormatTime(record.taken_over)}};
   lines_.emplace_back(
       number,
       line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
           "\n");
-  if (lines_.size() > init_.capacity) {
+  bytes_ += lines_.back().second.size();
+  while (lines_.size() > 1 &&
+         (lines_.size() > init_.capacity || bytes_ > init_.max_bytes)) {
+    bytes_ -= lines_.front().second.size();
     lines_.pop_front();
     ++stats_.dropped;
   }
@@ -78,13 +97,11 @@
 }
 
 LogFields AuditFields(const AuditRecord& record) {
-  std::size_t withdrawn = 0;
-  for (const auto& key : record.keys) withdrawn += key.withdrawn ? 1 : 0;
   return {{"version", std::to_string(record.version.value())},
           {"preset", record.preset},
           {"source", record.source},
-          {"keys", std::to_string(record.keys.size())},
-          {"withdrawn_keys", std::to_string(withdrawn)},
+          {"keys", std::to_string(KeyCount(record))},
+          {"withdrawn_keys", std::to_string(WithdrawnCount(record))},
           {"organisations", std::to_string(record.rates.size())}};
 }
 
--- a/src/audit.h
+++ b/src/audit.h
@@ -15,6 +15,10 @@
  public:
   struct Init {
     std::size_t capacity = 256;
+    /// Of the text of all records. The newest record is kept in any case.
+    std::size_t max_bytes = std::size_t{8} << 20;
+    /// Keys, and organisations, that one record lists; others are counted.
+    std::size_t max_listed = 10000;
   };
   struct Stats {
     std::uint64_t recorded = 0;
@@ -36,6 +40,7 @@
   Init init_;
   mutable std::mutex mutex_;
   std::deque<std::pair<std::uint64_t, std::string>> lines_;
+  std::size_t bytes_ = 0;  ///< Of all lines.
   Stats stats_;
 };
 
--- a/src/command_audit.cpp
+++ b/src/command_audit.cpp
@@ -16,15 +16,12 @@
 constexpr std::chrono::milliseconds kFollowInterval(500);
 
 void PrintText(const Json& record) {
-  std::size_t withdrawn = 0;
-  for (const Json& key : record["keys"]) {
-    withdrawn += key.value("withdrawn", false) ? 1 : 0;
-  }
   std::cout << record.value("number", 0) << " " << record.value("time", "")
             << " version " << record.value("version", 0) << " preset "
             << record.value("preset", "") << " from "
-            << record.value("source", "") << ", " << record["keys"].size()
-            << " keys, " << withdrawn << " withdrawn\n";
+            << record.value("source", "") << ", "
+            << record.value("key_count", 0) << " keys, "
+            << record.value("withdrawn_count", 0) << " withdrawn\n";
 }
 
 // Prints the records after `since` and moves it forward. False if the daemon
--- a/tests/daemon/operator_test.cpp
+++ b/tests/daemon/operator_test.cpp
@@ -173,6 +173,25 @@
   BOOST_TEST(trail.ReadAfter(10).empty());
 }
 
+// Guards against a trail that outgrows the memory of the daemon when versions
+// hold many organisations.
+BOOST_AUTO_TEST_CASE(audit_trail_is_bounded_in_bytes) {
+  AuditTrail trail({256, /*max_bytes=*/100000, /*max_listed=*/1000});
+  AuditRecord record = RecordOf(1);
+  record.unnamed_keys = 7;
+  for (int i = 0; i < 5000; ++i) record.rates.push_back({"x", 1, 1});
+  for (std::uint64_t i = 1; i <= 10; ++i) {
+    record.version = Version(i);
+    trail.Add(record);
+  }
+  const std::string text = trail.ReadAfter(0);
+  BOOST_TEST(text.size() <= 100000U);
+  const auto newest = nlohmann::json::parse(trail.ReadAfter(9));
+  BOOST_TEST(newest.at("rates").size() == 1000U);
+  BOOST_TEST(newest.at("organisation_count") == 5001U);
+  BOOST_TEST(newest.at("key_count") == 8U);
+}
+
 // Guards against an endpoint that shows an old snapshot, answers writes, or
 // misses a path.
 BOOST_AUTO_TEST_CASE(operator_endpoint_answers) {
