--- a/tests/key_digests_test.cpp
+++ b/tests/key_digests_test.cpp
@@ -37,7 +37,7 @@
                              {"key_digests", WriteKeyDigests(digests)}}}}}};
   Findings findings;
   DocumentStore store;
-  auto result = store.FromText(document.dump(), findings);
+  auto result = store.FromJson(document, findings);
   BOOST_REQUIRE_MESSAGE(result, findings.Format("document"));
   return result;
 }
