--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -118,8 +118,10 @@
   std::vector<Evacuation> evacuations;
 };
 
+/// Asks for the changes since a version, or for more of a snapshot.
 struct ConfigRequest {
   Version have;
+  std::uint32_t first_piece = 0;  ///< Above 0: of the snapshot.
 };
 
 /// Changes between two versions, as entries of the published document.
--- a/src/document_history.cpp
+++ b/src/document_history.cpp
@@ -61,12 +61,14 @@
   return true;
 }
 
-std::vector<ConfigSnapshot> DocumentHistory::MakeSnapshot() const {
+std::vector<ConfigSnapshot> DocumentHistory::MakeSnapshot(
+    std::size_t first_piece, std::size_t max_pieces) const {
   std::vector<ConfigSnapshot> pieces;
   if (!current_) return pieces;
   const std::string& bytes = current_->cbor;
   const std::size_t count = (bytes.size() + kPieceSize - 1) / kPieceSize;
-  for (std::size_t i = 0; i < count; ++i) {
+  const std::size_t end = std::min(count, first_piece + max_pieces);
+  for (std::size_t i = first_piece; i < end; ++i) {
     ConfigSnapshot piece;
     piece.version = version();
     piece.checksum = current_->checksum;
--- a/src/document_history.h
+++ b/src/document_history.h
@@ -28,8 +28,10 @@
   /// Builds one delta from `have` to the current version. Returns false if
   /// `have` is too old or the delta is larger than `max_size` bytes.
   bool MakeDelta(Version have, std::size_t max_size, ConfigDelta& out) const;
-  /// Returns the current document, split into pieces.
-  std::vector<ConfigSnapshot> MakeSnapshot() const;
+  /// Splits the current document into pieces and returns up to `max_pieces`,
+  /// from `first_piece` on.
+  std::vector<ConfigSnapshot> MakeSnapshot(std::size_t first_piece,
+                                           std::size_t max_pieces) const;
 
  private:
   struct Delta {
--- a/src/peer_message_schema.h
+++ b/src/peer_message_schema.h
@@ -202,6 +202,7 @@
   template <typename V, typename M>
   static void Visit(V& v, M& m) {
     v.VersionNumber(m.have);
+    v.Integer(m.first_piece, kMaxPieces - 1);
   }
 };
 
--- a/src/snapshot_assembly.cpp
+++ b/src/snapshot_assembly.cpp
@@ -1,5 +1,6 @@
 #include "snapshot_assembly.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "lentilcross/config.h"
@@ -55,6 +56,11 @@
          checksum_ == piece.checksum && pieces_.size() == piece.pieces;
 }
 
+std::uint32_t SnapshotAssembly::FirstMissing() const {
+  const auto missing = std::find(pieces_.begin(), pieces_.end(), std::nullopt);
+  return static_cast<std::uint32_t>(missing - pieces_.begin());
+}
+
 void SnapshotAssembly::Start(const ConfigSnapshot& piece) {
   Clear();
   version_ = piece.version;
--- a/src/snapshot_assembly.h
+++ b/src/snapshot_assembly.h
@@ -26,8 +26,12 @@
   std::string TakeBytes();
   void Clear();
 
- private:
+  /// Whether `piece` belongs to the snapshot that is being assembled.
   bool Matches(const ConfigSnapshot& piece) const;
+  /// Index of the first piece that was not added yet.
+  std::uint32_t FirstMissing() const;
+
+ private:
   void Start(const ConfigSnapshot& piece);
 
   Version version_;
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -27,6 +27,10 @@
 constexpr Duration kMinAgeDifference = std::chrono::seconds(1);
 // Maximum digest interval of a process without a configuration.
 constexpr Duration kStartupInterval = std::chrono::milliseconds(250);
+// Pieces of a snapshot that are sent for one request. The peer asks for more
+// when it has them, so that a host that serves many peers holds little for
+// each.
+constexpr std::uint32_t kSnapshotWindow = 16;
 // Larger deltas are not pushed. Peers learn of the version from a digest and
 // request it from one host.
 constexpr std::size_t kMaxPushedDelta = 65536;
@@ -85,6 +89,9 @@
   void Accept(DocumentPointer document, Instant now);
   /// Fails with the findings of an invalid document, but only once for each.
   Result<void> Refuse(std::uint64_t hash, Findings findings, Instant now);
+  /// Requests more of a snapshot after the last piece of a window.
+  OutgoingList RequestNextPieces(HostId from, const ConfigSnapshot& piece,
+                                 Instant now);
   /// Requests the changes since `have`, unless a request is pending.
   OutgoingList RequestUpdate(HostId from, Version have, Instant now);
   OutgoingList Push(const Membership& membership, Instant now, Random& random);
@@ -257,14 +264,17 @@
                                                 const ConfigRequest& request) {
   OutgoingList replies;
   if (!(request.have < history_.version())) return replies;
-  ConfigDelta delta;
-  if (history_.MakeDelta(request.have, kMaxDeltaSize, delta)) {
-    ++stats_.deltas_sent;
-    replies.push_back({from, std::move(delta)});
-    return replies;
+  if (request.first_piece == 0) {
+    ConfigDelta delta;
+    if (history_.MakeDelta(request.have, kMaxDeltaSize, delta)) {
+      ++stats_.deltas_sent;
+      replies.push_back({from, std::move(delta)});
+      return replies;
+    }
+    ++stats_.snapshots_sent;
   }
-  ++stats_.snapshots_sent;
-  for (ConfigSnapshot& piece : history_.MakeSnapshot()) {
+  for (ConfigSnapshot& piece :
+       history_.MakeSnapshot(request.first_piece, kSnapshotWindow)) {
     replies.push_back({from, std::move(piece)});
   }
   return replies;
@@ -310,7 +320,9 @@
   if (piece.version == rejected_version_ && now < rejected_until_) return {};
   if (request_sent_) request_sent_ = now;
   const auto outcome = assembly_.Add(piece, now, kRequestTimeout);
-  if (outcome == SnapshotAssembly::Outcome::kIncomplete) return {};
+  if (outcome == SnapshotAssembly::Outcome::kIncomplete) {
+    return RequestNextPieces(from, piece, now);
+  }
   if (outcome == SnapshotAssembly::Outcome::kCorrupt) {
     ++stats_.corrupt;
     return {};  // The next digest triggers a new request.
@@ -327,6 +339,18 @@
   return {{from, MakeDigest(now)}};
 }
 
+OutgoingList ConfigDistributor::Impl::RequestNextPieces(
+    HostId from, const ConfigSnapshot& piece, Instant now) {
+  // After the last piece, earlier ones are missing if the version changed while
+  // the snapshot was sent.
+  const std::uint32_t received = piece.piece + 1;
+  const bool ends_window =
+      received % kSnapshotWindow == 0 || received == piece.pieces;
+  if (!ends_window || !assembly_.Matches(piece)) return {};
+  request_sent_ = now;
+  return {{from, ConfigRequest{history_.version(), assembly_.FirstMissing()}}};
+}
+
 OutgoingList ConfigDistributor::Impl::RequestUpdate(HostId from, Version have,
                                                     Instant now) {
   if (request_sent_ && now - *request_sent_ < kRequestTimeout) return {};
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -200,16 +200,29 @@
 };
 
 /// Returns a document large enough for several snapshot pieces.
-std::string LargeDocument(SimulatedFleet& fleet, std::uint64_t version) {
+std::string LargeDocument(SimulatedFleet& fleet, std::uint64_t version,
+                          int count = 10000) {
   std::string text = fleet.Document(version);
   std::string organisations;
-  for (int i = 0; i < 10000; ++i) {
+  for (int i = 0; i < count; ++i) {
     organisations += "\"o" + std::to_string(i) + "\":{\"rate\":1,\"burst\":1},";
   }
   const std::string prefix = "\"organisations\":{";
   return text.insert(text.find(prefix) + prefix.size(), organisations);
 }
 
+/// More than the platform takes as text.
+void PublishManyOrganisations(PeerPair& pair, std::uint64_t version) {
+  const auto document =
+      nlohmann::json::parse(LargeDocument(pair.fleet, version, 60000));
+  BOOST_REQUIRE(Capture<bool>([&]() -> Result<bool> {
+                  auto read = pair.old().OnParsedPlatformDocument(
+                      document, pair.fleet.now());
+                  if (!read) return read.error();
+                  return true;
+                }).value);
+}
+
 }  // namespace
 
 // Guards against snapshots that fail to assemble from repeated or reordered
@@ -250,6 +263,52 @@
   BOOST_TEST(pair.fresh().stats().applied == 1);
 }
 
+// Guards against a host that holds a whole large document for each peer that
+// asks, and against a snapshot that ends with its first pieces.
+BOOST_AUTO_TEST_CASE(large_snapshots_are_sent_in_windows) {
+  PeerPair pair;
+  PublishManyOrganisations(pair, 3);
+  PeerMessage request = ConfigRequest{};
+  int windows = 0;
+  while (!pair.fresh().current()) {
+    const auto pieces = pair.ToOld(request);
+    BOOST_REQUIRE(!pieces.empty());
+    std::size_t bytes = 0;
+    std::vector<ConfigDistributor::Outgoing> replies;
+    for (const auto& piece : pieces) {
+      bytes += Encode(piece.message).size();
+      for (auto& reply : pair.ToFresh(piece.message)) replies.push_back(reply);
+    }
+    BOOST_TEST(bytes < 2 * LENTILCROSS_CONFIG_MAX_PEER_MESSAGE);
+    BOOST_REQUIRE(replies.size() == 1);
+    request = replies.front().message;
+    ++windows;
+  }
+  BOOST_TEST(windows > 1);
+  BOOST_TEST(pair.fresh().current()->version.value() == 3);
+}
+
+// Guards against a snapshot of which no more is requested when the version
+// changes while it is sent.
+BOOST_AUTO_TEST_CASE(version_changes_between_windows_of_a_snapshot) {
+  PeerPair pair;
+  PublishManyOrganisations(pair, 3);
+  std::vector<PeerMessage> requests = {ConfigRequest{}};
+  for (int round = 0; !pair.fresh().current(); ++round) {
+    BOOST_REQUIRE(round < 20);
+    BOOST_REQUIRE(!requests.empty());
+    const PeerMessage request = requests.front();
+    requests.clear();
+    for (const auto& piece : pair.ToOld(request)) {
+      for (auto& reply : pair.ToFresh(piece.message)) {
+        requests.push_back(reply.message);
+      }
+    }
+    if (round == 0) PublishManyOrganisations(pair, 4);
+  }
+  BOOST_TEST(pair.fresh().current()->version.value() == 4);
+}
+
 // Guards against an incomplete snapshot that blocks all later ones.
 BOOST_AUTO_TEST_CASE(an_abandoned_snapshot_is_replaced) {
   PeerPair pair;
