--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -249,6 +249,19 @@
   BOOST_TEST(RunWatching([&] { return evacuations.IsActive("zone-a"); }));
 }
 
+// Guards against an evacuation that is never read because the page that it
+// would be in is full, as with a large configuration.
+BOOST_AUTO_TEST_CASE(evacuations_come_in_later_pages) {
+  Setup setup;
+  setup.store.SetPage(1);
+  setup.store.Put("op/config", MakeOperatorConfiguration(3).dump());
+  setup.store.Put("op/evacuate/zone-a", "{}");
+  setup.client->Read(Version(), Duration::zero());
+  BOOST_TEST(setup.RunUntil([&] { return !setup.documents.empty(); }));
+  BOOST_TEST(setup.evacuations.IsActive("zone-a"));
+  BOOST_TEST(!setup.client->reading());
+}
+
 // Guards against an evacuation that stays in force because its end fell into a
 // history that is gone.
 BOOST_FIXTURE_TEST_CASE(evacuation_that_ended_unseen_is_taken_back, Reader) {
