Compare digests of keys without a name in constant time

Change: only the first 64 bits take part in the search, as with named keys; the rest is compared in constant time. Two comments say what a request for pieces and a composed document are.

--- a/include/lentilcross/keys.h
+++ b/include/lentilcross/keys.h
@@ -29,7 +29,8 @@
 bool EqualConstantTime(const Sha256Digest& a, const Sha256Digest& b);
 
 KeyDigest ToKeyDigest(const Sha256Digest& digest);
-/// Searches keys that are sorted by digest. Null if there is none.
+/// Searches keys that are sorted by digest, and compares digests in constant
+/// time. Null if there is none.
 const UnnamedKey* FindUnnamedKey(const std::vector<UnnamedKey>& keys,
                                  const KeyDigest& digest);
 
--- a/include/lentilcross/peer_message.h
+++ b/include/lentilcross/peer_message.h
@@ -121,7 +121,7 @@
 /// Asks for the changes since a version, or for more of a snapshot.
 struct ConfigRequest {
   Version have;
-  std::uint32_t first_piece = 0;  ///< Above 0: of the snapshot.
+  std::uint32_t first_piece = 0;  ///< Of a snapshot; 0: a delta will do.
 };
 
 /// Changes between two versions, as entries of the published document.
--- a/include/lentilcross/spread.h
+++ b/include/lentilcross/spread.h
@@ -78,6 +78,8 @@
   /// Handles a document read from the platform. Fails with `Findings` if it is
   /// invalid, but only once for the same document.
   Result<void> OnPlatformDocument(std::string_view text, Instant now);
+  /// The same for a document that was composed from a value of another form, so
+  /// that the limit for published values does not apply.
   Result<void> OnParsedPlatformDocument(const nlohmann::json& document,
                                         Instant now);
   /// Call when the platform has no version newer than the current one.
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -16,7 +16,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMaxDepth = 32;
-constexpr std::size_t kUsualMembers = 12;
+/// Members of the largest kind of object, so that no list of them grows.
+constexpr std::size_t kUsualMembers = 16;
 
 struct Position {
   std::size_t line = 1;
--- a/src/keys.cpp
+++ b/src/keys.cpp
@@ -10,6 +10,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "hex.h"
+
 namespace lentilcross {
 namespace {
 
@@ -58,12 +60,18 @@
 
 const UnnamedKey* FindUnnamedKey(const std::vector<UnnamedKey>& keys,
                                  const KeyDigest& digest) {
-  const auto it =
-      std::lower_bound(keys.begin(), keys.end(), digest,
-                       [](const UnnamedKey& key, const KeyDigest& wanted) {
-                         return key.digest < wanted;
-                       });
-  return it == keys.end() || it->digest != digest ? nullptr : &*it;
+  const std::uint64_t prefix = LoadBigEndian64(digest, 0);
+  auto it = std::lower_bound(keys.begin(), keys.end(), prefix,
+                             [](const UnnamedKey& key, std::uint64_t wanted) {
+                               return LoadBigEndian64(key.digest, 0) < wanted;
+                             });
+  // As with named keys, only the prefix takes part in the search.
+  for (; it != keys.end() && LoadBigEndian64(it->digest, 0) == prefix; ++it) {
+    if (CRYPTO_memcmp(it->digest.data(), digest.data(), digest.size()) == 0) {
+      return &*it;
+    }
+  }
+  return nullptr;
 }
 
 bool EqualConstantTime(const Sha256Digest& a, const Sha256Digest& b) {
