--- a/tools/capacity/measure_requests.cpp
+++ b/tools/capacity/measure_requests.cpp
@@ -26,6 +26,42 @@
   return static_cast<double>(HeapBytes()) - static_cast<double>(before);
 }
 
+std::shared_ptr<const std::vector<UnnamedKey>> MakeUnnamedKeys(int count) {
+  std::vector<UnnamedKey> keys;
+  keys.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    keys.push_back({ToKeyDigest(Sha256("key " + std::to_string(i))),
+                    OrganisationId(1 + static_cast<std::uint64_t>(i % 100))});
+  }
+  std::sort(keys.begin(), keys.end(),
+            [](const UnnamedKey& a, const UnnamedKey& b) {
+              return a.digest < b.digest;
+            });
+  return std::make_shared<const std::vector<UnnamedKey>>(std::move(keys));
+}
+
+/// Up to as many keys as a value of 1 MB holds.
+void MeasureUnnamedKeys() {
+  Series find("unnamed_key_find", "ns");
+  Series heap("unnamed_key_heap", "B");
+  Series apply("unnamed_key_apply", "us");
+  for (const int keys : {1000, 10000, 45000, 176000}) {
+    const std::size_t before = HeapBytes();
+    KeyRing ring;
+    Configuration configuration;
+    configuration.version = Version(1);
+    configuration.unnamed_keys = MakeUnnamedKeys(keys);
+    ring.Apply(configuration);
+    heap.Add(keys, Heap(before));
+    find.Add(keys, MeanNanoseconds(2000, [&] { (void)ring.Find("key 500"); }));
+    configuration.version = Version(2);
+    configuration.unnamed_keys = MakeUnnamedKeys(keys - 1);
+    apply.Add(keys,
+              MeanNanoseconds(1, [&] { ring.Apply(configuration); }) / 1000);
+  }
+  for (const auto* series : {&find, &heap, &apply}) series->Print();
+}
+
 }  // namespace
 
 void MeasureRate() {
@@ -158,6 +194,7 @@
                        2000, [&] { (void)ring.Find("organisation-5-key-0"); }));
   }
   find.Print();
+  MeasureUnnamedKeys();
 }
 
 }  // namespace lentilcross
