--- a/tests/platform/path_setup.h
+++ b/tests/platform/path_setup.h
@@ -58,6 +58,19 @@
   std::unique_ptr<RunningDaemon> daemon;
 };
 
+/// Sends an idempotent request to the daemon of `host`.
+inline web::HttpResponse Look(Host& host, const std::string& key) {
+  web::HttpRequest request;
+  request.target = "/look/1";
+  request.headers = {{"Host", "shop.example"},
+                     {"X-Lentilcross-Request-Id", "9c41d07be2a35f68"},
+                     {"X-Lentilcross-Deadline-Ms", "3000"},
+                     {"X-Lentilcross-Key", key}};
+  return web::HttpCall(ToText(host.daemon->daemon().caller()), request,
+                       std::chrono::seconds(10))
+      .response;
+}
+
 /// A store and two hosts in one failure domain: `stock` and `ledger`.
 struct PathSetup {
   explicit PathSetup(FakeTarget::Handler ledger = Signed(),
