Tell peers of a version before its audit record is made

Cause: the record lists up to 10,000 keys and as many organisations, and peers heard of the version only after it was written.

Change: the order.

--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -398,6 +398,8 @@
     fleet_is_new = false;
     Send(Compose(current));
     if (!version_is_new) return;
+    // Peers wait for it; the records of a large version take a while.
+    SendAll(spread.Tick(membership, steady_clock::now(), random));
     Log(LogLevel::kInfo, "configuration-applied",
         {{"version", std::to_string(current->version.value())},
          {"preset", current->preset.name},
@@ -405,7 +407,6 @@
          {"confirmed_ms",
           MillisecondsText(spread.PlatformAge(steady_clock::now()))}});
     if (init.on_audit) init.on_audit(MakeRecord(*current, source));
-    SendAll(spread.Tick(membership, steady_clock::now(), random));
   }
 
   // ----- Ticks
