Write patches and read objects without temporary objects

Change: the operations of a patch are encoded directly, and the names of the members that a reader asks for have room in the reader itself.

--- a/src/document_patch.cpp
+++ b/src/document_patch.cpp
@@ -22,6 +22,9 @@
   kSimple,
 };
 
+/// Arguments from here on stand in the following 1, 2, 4 or 8 bytes.
+constexpr std::uint64_t kOneByte = 24;
+
 struct Head {
   Major major = Major::kSimple;
   std::uint64_t argument = 0;  ///< Value, length or number of entries.
@@ -53,9 +56,6 @@
   }
 
  private:
-  /// Arguments from here on stand in the following 1, 2, 4 or 8 bytes.
-  static constexpr std::uint64_t kOneByte = 24;
-
   std::string_view Take(std::uint64_t size) {
     const std::string_view taken = rest_.substr(0, size);
     rest_.remove_prefix(taken.size());
@@ -130,6 +130,29 @@
   return bytes;
 }
 
+std::string EncodeHead(const Head& head) {
+  const auto first = static_cast<std::uint8_t>(head.major) << 5;
+  if (head.argument < kOneByte) {
+    return {static_cast<char>(first | head.argument)};
+  }
+  // 1, 2, 4 or 8 bytes follow.
+  std::uint64_t info = kOneByte;
+  std::size_t size = 1;
+  while (size < 8 && head.argument >> (8 * size) != 0) {
+    size *= 2;
+    ++info;
+  }
+  std::string bytes = {static_cast<char>(first | info)};
+  for (std::size_t i = size; i > 0; --i) {
+    bytes += static_cast<char>(head.argument >> (8 * (i - 1)));
+  }
+  return bytes;
+}
+
+std::string EncodeText(std::string_view text) {
+  return EncodeHead({Major::kText, text.size()}).append(text);
+}
+
 /// Writes the operations of a patch, up to a limit.
 class PatchWriter {
  public:
@@ -158,7 +181,7 @@
 
   std::optional<std::string> Finish() const {
     if (full()) return std::nullopt;
-    return ArrayHead(count_) + operations_;
+    return EncodeHead({Major::kArray, count_}) + operations_;
   }
 
  private:
@@ -184,26 +207,24 @@
     }
   }
 
+  /// Members are written in the order of their names.
   void AddOperation(const char* kind, const std::string& place) {
-    operations_ += ToCbor({{"op", kind}, {"path", place}});
-    ++count_;
+    BeginOperation(2, kind, place);
   }
   void AddOperation(const char* kind, const std::string& place,
                     std::string_view value) {
-    const std::size_t begin = operations_.size();
-    AddOperation(kind, place);
-    // One more member; "value" comes last in the order of names.
-    operations_[begin] = static_cast<char>(operations_[begin] + 1);
-    operations_ += ToCbor("value");
+    BeginOperation(3, kind, place);
+    operations_ += EncodeText("value");
     operations_ += value;
   }
-
-  static std::string ArrayHead(std::uint64_t count) {
-    // The head of a number, with another major type.
-    std::string head = ToCbor(count);
-    constexpr int kArrayBits = static_cast<int>(Major::kArray) << 5;
-    head.front() = static_cast<char>(head.front() | kArrayBits);
-    return head;
+  void BeginOperation(std::uint64_t members, const char* kind,
+                      const std::string& place) {
+    operations_ += EncodeHead({Major::kMap, members});
+    operations_ += EncodeText("op");
+    operations_ += EncodeText(kind);
+    operations_ += EncodeText("path");
+    operations_ += EncodeText(place);
+    ++count_;
   }
 
   std::size_t max_size_;
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -16,8 +16,6 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMaxDepth = 32;
-/// Members of the largest kind of object, so that no list of them grows.
-constexpr std::size_t kUsualMembers = 16;
 
 struct Position {
   std::size_t line = 1;
@@ -287,7 +285,6 @@
 ObjectReader::ObjectReader(const Json& value, std::string pointer,
                            Findings& findings)
     : pointer_(std::move(pointer)), findings_(findings) {
-  known_.reserve(kUsualMembers);
   if (value.is_object()) {
     object_ = &value;
   } else {
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/container/small_vector.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -110,7 +111,8 @@
   const nlohmann::json* object_ = nullptr;
   std::string pointer_;
   Findings& findings_;
-  std::vector<std::string_view> known_;    ///< Names of all members asked for.
+  /// Names of all members asked for.
+  boost::container::small_vector<std::string_view, 16> known_;
   std::vector<std::string_view> missing_;  ///< Required members not found.
 };
 
