Leave out what a small entry of a document does not need

Cause: the translation of an organisation without a limit had a rate and a burst of 0, and that of a service an empty list of targets; with 65,000 of them most of the time went into these members.

--- a/src/configuration_reader.cpp
+++ b/src/configuration_reader.cpp
@@ -280,7 +280,7 @@
                   entry.name = name;
                   ObjectReader reader(value, pointer, findings_);
                   reader.Elements(
-                      "targets", Presence::kRequired,
+                      "targets", Presence::kOptional,
                       [&](const Json& target, const std::string& location) {
                         ReadTarget(target, location, entry);
                       });
@@ -485,12 +485,13 @@
         entry.id = OrganisationId::FromName(name);
         entry.name = name;
         ObjectReader reader(value, pointer, findings_);
-        reader.Number("rate", Presence::kRequired, 0, kMaxQuantity, entry.rate);
-        reader.Number("burst", Presence::kRequired, 0, kMaxQuantity,
-                      entry.burst);
+        reader.Flag("unlimited", Presence::kOptional, entry.unlimited);
+        const Presence limit =
+            entry.unlimited ? Presence::kOptional : Presence::kRequired;
+        reader.Number("rate", limit, 0, kMaxQuantity, entry.rate);
+        reader.Number("burst", limit, 0, kMaxQuantity, entry.burst);
         reader.Number("weight", Presence::kOptional, kMinWeight, kMaxWeight,
                       entry.weight);
-        reader.Flag("unlimited", Presence::kOptional, entry.unlimited);
         reader.Integer("precedence", Presence::kOptional, 0, kMaxPrecedence,
                        entry.precedence);
         ReadHomeRegions(reader, entry.home_regions);
