--- a/review/common-3/lab.cpp
+++ b/review/common-3/lab.cpp
@@ -5,7 +5,6 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -426,13 +425,15 @@
     run.method = Word(request.start, 0);
     run.path = path;
     run.tenant = request.header("X-Lentilcross-Tenant");
+    run.body = request.body;
     {
       const std::lock_guard lock(mutex_);
       index = runs_.size();
       runs_.push_back(run);
     }
     Write("upstream " + id_ + " begins " + run.method + " " + path +
-          " id=" + id + " tenant=" + run.tenant);
+          " id=" + id + " tenant=" + run.tenant + " body of " +
+          std::to_string(run.body.size()) + " bytes");
     const std::string time = Query(path, "ms");
     ++running_;
     const bool finished =
@@ -461,16 +462,10 @@
 
 Daemon::~Daemon() { Kill(); }
 
-bool Daemon::Start(const std::string& settings, const std::string& log,
-                   int max_files) {
+bool Daemon::Start(const std::string& settings, const std::string& log) {
   pid_ = fork();
   if (pid_ != 0) return pid_ > 0;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
-  if (max_files > 0) {
-    const auto most = static_cast<rlim_t>(max_files);
-    const rlimit limit{most, most};
-    setrlimit(RLIMIT_NOFILE, &limit);
-  }
   const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(out, STDOUT_FILENO);
   dup2(out, STDERR_FILENO);
@@ -607,8 +602,8 @@
 bool Deployment::StartDaemon(Machine& machine) {
   const std::string path = folder_ + "/" + machine.upstream.id() + ".json";
   std::ofstream(path) << Settings(machine);
-  return machine.daemon.Start(
-      path, folder_ + "/" + machine.upstream.id() + ".log", max_files);
+  return machine.daemon.Start(path,
+                              folder_ + "/" + machine.upstream.id() + ".log");
 }
 
 void Deployment::Register(Machine& machine, const std::string& state) {
@@ -702,15 +697,12 @@
     document["tenants"].push_back(entry);
   }
   for (const Route& route : routes) {
-    const Json path = {{"name", "r-" + route.service},
-                       {"prefix", route.prefix},
-                       {"kind", route.kind},
-                       {"timeout-ms", route.timeout_ms},
-                       {"target-latency-ms", 1500},
-                       {"priority", route.priority},
-                       {"service", route.service},
-                       {"max-attempts", 2},
-                       {"public", false}};
+    const Json path = {
+        {"name", "r-" + route.service}, {"prefix", route.prefix},
+        {"kind", route.kind},           {"timeout-ms", route.timeout_ms},
+        {"target-latency-ms", 1500},    {"priority", route.priority},
+        {"service", route.service},     {"max-attempts", 2},
+        {"public", route.is_public}};
     document["virtual-hosts"].push_back(
         {{"host", route.host}, {"paths", Json::array({path})}});
   }
--- a/review/common-3/lab.h
+++ b/review/common-3/lab.h
@@ -111,6 +111,7 @@
   std::string method;
   std::string path;
   std::string tenant;
+  std::string body;
   bool finished = false;  ///< False: the connection closed during the work.
   double ended = 0;
 };
@@ -153,9 +154,7 @@
   Daemon(Daemon&&) = delete;
   Daemon& operator=(Daemon&&) = delete;
 
-  /// `max_files`: limit of descriptors, 0 for none.
-  bool Start(const std::string& settings, const std::string& log,
-             int max_files);
+  bool Start(const std::string& settings, const std::string& log);
   void Signal(int signal) const;
   /// True if the process has ended.
   bool HasEnded();
@@ -210,7 +209,6 @@
   Store store;
   std::vector<std::unique_ptr<Machine>> machines;
   int store_port = 0;
-  int max_files = 0;  ///< `max-fds` of each daemon; 0: not limited.
   int caller_port = 0;
   int peer_port = 0;
   int operator_port = 0;
@@ -238,6 +236,7 @@
   std::string service;
   int timeout_ms = 5000;
   int priority = 0;
+  bool is_public = false;
 };
 
 struct Tenant {
