Limit values of a store version to the supported range

Cause: the adapter refused a whole version for one number out of its range, and its ranges were not those of the document: 10 minutes for an idle timeout where the document holds an hour, 1e9 for a split weight where it holds 1e6. The product had bounds of its own for times, rates, ranks and attempts that no page of the platform sets.

Change: both sides take their bounds from configuration_bounds.h.

--- a/src/configuration_reader.cpp
+++ b/src/configuration_reader.cpp
@@ -8,11 +8,11 @@
 #include <unordered_map>
 #include <utility>
 
+#include "configuration_bounds.h"
 #include "json_reader.h"
 #include "key_digests.h"
 #include "lentilcross/config.h"
 #include "lentilcross/keys.h"
-#include "lentilcross/peer_message.h"
 
 namespace lentilcross {
 namespace {
@@ -21,13 +21,8 @@
 
 constexpr std::uint64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
 constexpr int kMaxRateOwners = 16;
-constexpr double kMinWeight = 1e-3;
-constexpr double kMaxWeight = 1e6;
 constexpr double kMaxRateFactor = 10;
-// A longer timeout would keep call records and fences for too long.
-constexpr Duration kMaxTimeout = std::chrono::minutes(10);
 constexpr Duration kMaxQueue = std::chrono::minutes(1);
-constexpr Duration kMaxIdle = std::chrono::hours(1);
 constexpr int kMaxPrecedence = kImportanceCount;
 // Rounding error of a sum of decimal shares, such as ten times 0.1.
 constexpr double kShareTolerance = 1e-9;
@@ -308,10 +303,10 @@
 }
 
 void Reader::ReadColdStart(ObjectReader& reader, ServiceEntry& service) {
-  reader.Number("cold_rate", Presence::kOptional, 0, kMaxQuantity,
+  reader.Number("cold_rate", Presence::kOptional, 0, kMaxRate,
                 service.cold_rate);
   reader.Time("cold_time_ms", Presence::kOptional, Duration::zero(),
-              kMaxTimeout, service.cold_time);
+              kMaxColdTime, service.cold_time);
   reader.Text("health_path", Presence::kOptional, service.health_path);
   if (!service.health_path.empty() &&
       !IsPrefix(service.health_path, PercentEncoding::kLiteral)) {
@@ -340,12 +335,13 @@
   reader.Flag("idempotent", Presence::kRequired, entry.idempotent);
   reader.Flag("open", Presence::kOptional, entry.open);
   reader.Flag("ticket", Presence::kOptional, entry.ticket_required);
-  reader.Integer("max_attempts", Presence::kOptional, 1,
-                 1 + LENTILCROSS_CONFIG_MAX_EXTRA_ATTEMPTS, entry.max_attempts);
+  reader.Integer("max_attempts", Presence::kOptional, 1, kMaxAttempts,
+                 entry.max_attempts);
   reader.Time("timeout_ms", Presence::kRequired, std::chrono::milliseconds(1),
-              kMaxTimeout, entry.timeout);
+              kMaxRouteTimeout, entry.timeout);
   reader.Time("target_latency_ms", Presence::kOptional,
-              std::chrono::milliseconds(1), kMaxTimeout, entry.target_latency);
+              std::chrono::milliseconds(1), kMaxRouteTimeout,
+              entry.target_latency);
   ReadHomeRegions(reader, entry.home_regions);
   reader.Finish();
   if (!ReadRouteName(name, pointer, entry)) return;
@@ -449,10 +445,10 @@
   ObjectReader reader(*limits, "/limits", findings_);
   if (!reader.is_object()) return;
   reader.Time("header_timeout_ms", Presence::kOptional,
-              std::chrono::milliseconds(1), kMaxTimeout,
+              std::chrono::milliseconds(1), kMaxHeaderTimeout,
               result_->limits.header_timeout);
   reader.Time("idle_timeout_ms", Presence::kOptional,
-              std::chrono::milliseconds(1), kMaxIdle,
+              std::chrono::milliseconds(1), kMaxIdleTimeout,
               result_->limits.idle_timeout);
   reader.Finish();
 }
@@ -488,8 +484,8 @@
         reader.Flag("unlimited", Presence::kOptional, entry.unlimited);
         const Presence limit =
             entry.unlimited ? Presence::kOptional : Presence::kRequired;
-        reader.Number("rate", limit, 0, kMaxQuantity, entry.rate);
-        reader.Number("burst", limit, 0, kMaxQuantity, entry.burst);
+        reader.Number("rate", limit, 0, kMaxRate, entry.rate);
+        reader.Number("burst", limit, 0, kMaxRate, entry.burst);
         reader.Number("weight", Presence::kOptional, kMinWeight, kMaxWeight,
                       entry.weight);
         reader.Integer("precedence", Presence::kOptional, 0, kMaxPrecedence,
