Restore a quota at once when its organisation returns

Cause: without the organisation the account got an assigned quota of 0. On its return the old quota counted as a gain, and a gain waits for the handover, which guards a quota that moves between hosts. This one had not moved.

Change: an account without its organisation is suspended. It has no quota of its own, and its assignments stay as they are, so that on the return only a quota that moved meanwhile has to wait. The bucket starts empty.

--- a/src/rate_account.cpp
+++ b/src/rate_account.cpp
@@ -1,6 +1,7 @@
 #include "rate_account.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "lentilcross/rate.h"
 
@@ -55,6 +56,10 @@
   Recompute(time_);
 }
 
+void RateAccount::SetSuspended(bool suspended) {
+  if (std::exchange(suspended_, suspended) != suspended) Recompute(time_);
+}
+
 void RateAccount::PruneAssignments(Instant time) {
   while (assignments_.size() > 1 && assignments_[1].at + handover_ <= time) {
     assignments_.erase(assignments_.begin());
@@ -64,7 +69,7 @@
 void RateAccount::Recompute(Instant time) {
   PruneAssignments(time);
   own_ = {};
-  if (!assignments_.empty() && time < own_until_) {
+  if (!suspended_ && !assignments_.empty() && time < own_until_) {
     own_ = assignments_.front().quota;
     for (const Assignment& each : assignments_) own_ = Min(own_, each.quota);
   }
--- a/src/rate_account.h
+++ b/src/rate_account.h
@@ -89,6 +89,10 @@
   /// takes effect after `start_wait`.
   void SetAssignedQuota(Quota assigned, Instant now, Duration handover,
                         Duration start_wait);
+  /// While suspended, the account has no quota of its own. The assigned one is
+  /// in force again at once afterwards. For an organisation that the
+  /// configuration does not list or limit.
+  void SetSuspended(bool suspended);
   /// True until the first `SetAssignedQuota`.
   bool has_no_assigned_quota() const { return assignments_.empty(); }
   Quota assigned_quota() const {
@@ -165,6 +169,7 @@
 
   std::vector<Assignment> assignments_;
   Duration handover_{};
+  bool suspended_ = false;
   Quota own_;
   Quota borrowed_total_;
   Quota lent_total_;
--- a/src/rate_book.cpp
+++ b/src/rate_book.cpp
@@ -45,14 +45,18 @@
   Advance(org, now);
   org.lenders_known = false;
   org.is_owner = false;
-  const OwnerGroupId group = owners.GroupOf(init.failure_domain);
+  // An organisation may be back with the next version. Nobody uses its quota
+  // until then, so that only one that has moved has to wait for the handover.
+  org.account.SetSuspended(entry == nullptr);
   if (entry == nullptr) {
     org.total = {};
-  } else {
-    const std::vector<HostId> found = owners.Find(org.id, group);
-    org.is_owner =
-        std::find(found.begin(), found.end(), init.self) != found.end();
+    MarkDirty(org);
+    return;
   }
+  const OwnerGroupId group = owners.GroupOf(init.failure_domain);
+  const std::vector<HostId> found = owners.Find(org.id, group);
+  org.is_owner =
+      std::find(found.begin(), found.end(), init.self) != found.end();
   // The first quota of a host takes effect after `start_wait` instead of the
   // handover. It is not set before the host is listed, as a host may receive a
   // configuration before its own registration.
--- a/tests/rate_book_test.cpp
+++ b/tests/rate_book_test.cpp
@@ -34,7 +34,7 @@
 // while there is no partition; see "Not promised" in design section 6.3.
 void InjectFault(SimulatedRateFleet& fleet, bool is_connected) {
   const int host = *rc::gen::inRange(0, fleet.hosts());
-  switch (*rc::gen::inRange(0, is_connected ? 4 : 3)) {
+  switch (*rc::gen::inRange(0, is_connected ? 5 : 3)) {
     case 0:
       fleet.Pause(host, milliseconds(*rc::gen::inRange(1, 9000)));
       break;
@@ -44,6 +44,14 @@
     case 2:
       fleet.SetLoss(*rc::gen::element(0.0, 0.1, 0.5));
       break;
+    case 3:
+      // The organisation is gone until the next change of this kind.
+      fleet.Publish([](Configuration& next) {
+        for (auto& [id, organisation] : next.organisations) {
+          organisation.unlimited = !organisation.unlimited;
+        }
+      });
+      break;
     default:
       fleet.Publish(
           [count = *rc::gen::inRange(1, 4),
--- a/tests/rate_start_test.cpp
+++ b/tests/rate_start_test.cpp
@@ -124,6 +124,38 @@
   BOOST_TEST(held_at(seconds(3) + init.handover) == 100);
 }
 
+// Guards against refusals within rate for the handover time after a version
+// without an organisation, or without its limit, was replaced by one with it.
+BOOST_AUTO_TEST_CASE(organisation_that_returns_has_its_quota_at_once) {
+  const auto listed = Capture<std::shared_ptr<const Configuration>>(
+      [] { return Configuration::Parse(kDocument); });
+  BOOST_REQUIRE(listed.value);
+  auto removed = std::make_shared<Configuration>(**listed.value);
+  removed->organisations.clear();
+  auto unlimited = std::make_shared<Configuration>(**listed.value);
+  unlimited->organisations.at(kCoopers).unlimited = true;
+  for (const auto& between : {removed, unlimited}) {
+    const RateLimiter::Init init = MakeInit(Duration::zero());
+    auto limiter =
+        Capture<RateLimiter>([&] { return RateLimiter::Create(init); });
+    BOOST_REQUIRE(limiter.value);
+    const auto held_at = [&](Instant now) {
+      limiter.value->RecordContact(now, now);
+      return limiter.value->held(kCoopers, now).rate;
+    };
+    limiter.value->RecordContact(kStart, kStart);
+    limiter.value->Apply(*listed.value, kStart);
+    const Instant gone = kStart + seconds(10);
+    BOOST_TEST(held_at(gone) == 100);
+    limiter.value->Apply(between, gone);
+    BOOST_TEST(held_at(gone + seconds(1)) == 0);
+    limiter.value->Apply(*listed.value, gone + seconds(1));
+    BOOST_TEST(held_at(gone + seconds(1)) == 100);
+    // The bucket starts empty.
+    BOOST_TEST(limiter.value->tokens(kCoopers, gone + seconds(1)) < 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(start_wait_above_handover_is_rejected) {
   RateLimiter::Init init;
   init.self = HostId::FromName("a");
