Apply the rest of a version that has an unusual name or entry

Cause: the document that hosts exchange held only names as people write them in a document of ours, and one finding refuses all of it. The names of a platform are its own.

Change: documents of an adapter and of peers hold any name that fits a header value and a peer message (256 bytes), and prefixes as long as a path between hosts. Documents as text keep their rules and `check` its findings.

--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -95,7 +95,8 @@
   Findings findings;
   const auto document = ParsePublishedText(text, findings);
   if (!document) return boost::leaf::new_error(std::move(findings));
-  auto configuration = ReadConfiguration(*document, findings);
+  auto configuration =
+      ReadConfiguration(*document, NameRules::kPlain, findings);
   if (!configuration) return boost::leaf::new_error(std::move(findings));
   return configuration;
 }
--- a/src/configuration_reader.cpp
+++ b/src/configuration_reader.cpp
@@ -60,6 +60,11 @@
          std::all_of(host.begin(), host.end(), allowed);
 }
 
+bool IsControl(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return byte < ' ' || byte == 0x7F;
+}
+
 std::optional<int> HexDigit(char c) {
   if (c >= '0' && c <= '9') return c - '0';
   if (c >= 'a' && c <= 'f') return c - 'a' + 10;
@@ -83,10 +88,16 @@
 /// names and hash collisions.
 class NameTable {
  public:
-  explicit NameTable(Findings& findings) : findings_(findings) {}
+  NameTable(NameRules rules, Findings& findings)
+      : rules_(rules), findings_(findings) {}
 
   /// Returns false and adds a finding if the name is malformed or in use.
   bool Add(const std::string& name, const std::string& pointer) {
+    if (rules_ == NameRules::kForeign) {
+      if (IsForeignName(name)) return AddUnchecked(name, pointer);
+      findings_.Add(pointer, "out of range: a name fits a header value");
+      return false;
+    }
     if (!IsName(name)) {
       findings_.Add(pointer, "out of range: a name has 1 to " +
                                  std::to_string(LENTILCROSS_CONFIG_MAX_NAME) +
@@ -107,6 +118,7 @@
   }
 
  private:
+  const NameRules rules_;
   Findings& findings_;
   std::unordered_map<std::uint64_t, std::string> names_;
 };
@@ -115,8 +127,8 @@
 /// can be checked.
 class Reader {
  public:
-  Reader(const Json& document, Findings& findings)
-      : root_(document, "", findings), findings_(findings) {}
+  Reader(const Json& document, NameRules rules, Findings& findings)
+      : root_(document, "", findings), rules_(rules), findings_(findings) {}
 
   std::shared_ptr<const Configuration> Read() {
     if (!root_.is_object()) return nullptr;
@@ -191,15 +203,16 @@
   }
 
   ObjectReader root_;
+  const NameRules rules_;
   Findings& findings_;
-  NameTable target_names_{findings_};
-  NameTable route_names_{findings_};
+  NameTable target_names_{rules_, findings_};
+  NameTable route_names_{rules_, findings_};
   std::vector<UnnamedKey> unnamed_keys_;
   std::shared_ptr<Configuration> result_ = std::make_shared<Configuration>();
 };
 
 void Reader::ReadFailureDomains() {
-  NameTable names(findings_);
+  NameTable names(rules_, findings_);
   std::vector<FailureDomainId> without_share;
   root_.Members(
       "failure_domains", Presence::kRequired,
@@ -238,7 +251,7 @@
 }
 
 void Reader::ReadHosts() {
-  NameTable names(findings_);
+  NameTable names(rules_, findings_);
   std::unordered_map<std::string, std::string> peers;
   root_.Members(
       "hosts", Presence::kRequired,
@@ -266,7 +279,7 @@
 }
 
 void Reader::ReadServices() {
-  NameTable names(findings_);
+  NameTable names(rules_, findings_);
   root_.Members("services", Presence::kRequired,
                 [&](const std::string& name, const Json& value,
                     const std::string& pointer) {
@@ -308,8 +321,11 @@
   reader.Time("cold_time_ms", Presence::kOptional, Duration::zero(),
               kMaxColdTime, service.cold_time);
   reader.Text("health_path", Presence::kOptional, service.health_path);
-  if (!service.health_path.empty() &&
-      !IsPrefix(service.health_path, PercentEncoding::kLiteral)) {
+  const std::string& path = service.health_path;
+  const bool is_path = rules_ == NameRules::kForeign
+                           ? IsForeignPrefix(path)
+                           : IsPrefix(path, PercentEncoding::kLiteral);
+  if (!path.empty() && !is_path) {
     reader.Report("health_path", "out of range: expected a path");
   }
   if (service.cold_rate > 0 && service.cold_time == Duration::zero()) {
@@ -420,7 +436,10 @@
   // that has no host. Routes with a host are told apart by their bytes alone.
   const auto encoding = entry.host.empty() ? PercentEncoding::kRefused
                                            : PercentEncoding::kLiteral;
-  if (!IsPrefix(entry.prefix, encoding)) {
+  const bool foreign = rules_ == NameRules::kForeign && !entry.host.empty();
+  const bool is_prefix = foreign ? IsForeignPrefix(entry.prefix)
+                                 : IsPrefix(entry.prefix, encoding);
+  if (!is_prefix) {
     findings_.Add(pointer,
                   "out of range: a route is a path without query, fragment or "
                   "blanks, and without percent encoding unless it follows a "
@@ -428,7 +447,10 @@
     return false;
   }
   if (!entry.host.empty()) {
-    if (IsLowerCaseHostName(entry.host)) return true;
+    if (foreign ? IsForeignRouteHost(entry.host)
+                : IsLowerCaseHostName(entry.host)) {
+      return true;
+    }
     findings_.Add(pointer,
                   "out of range: the host is not a lower-case domain name");
     return false;
@@ -472,7 +494,7 @@
 }
 
 void Reader::ReadOrganisations() {
-  NameTable names(findings_);
+  NameTable names(rules_, findings_);
   root_.Members(
       "organisations", Presence::kRequired,
       [&](const std::string& name, const Json& value,
@@ -497,7 +519,8 @@
                          entry.id, findings_, unnamed_keys_);
         }
         reader.Finish();
-        if (name == kPublicOrganisation) {
+        // An adapter's dialect does not send the reserved name.
+        if (name == kPublicOrganisation && rules_ == NameRules::kPlain) {
           findings_.Add(pointer,
                         "out of range: the name is reserved for open routes");
         } else if (names.Add(name, pointer)) {
@@ -507,7 +530,7 @@
 }
 
 void Reader::ReadKeys() {
-  NameTable names(findings_);
+  NameTable names(rules_, findings_);
   std::map<Sha256Digest, std::string> digests;
   root_.Members(
       "keys", Presence::kRequired,
@@ -567,7 +590,7 @@
 void Reader::ReadPresets() {
   std::string active;
   root_.Text("preset", Presence::kRequired, active);
-  NameTable names(findings_);
+  NameTable names(rules_, findings_);
   root_.Members("presets", Presence::kRequired,
                 [&](const std::string& name, const Json& value,
                     const std::string& pointer) {
@@ -606,9 +629,34 @@
 
 }  // namespace
 
+bool IsForeignName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxNameSize && name.front() != ' ' &&
+         name.back() != ' ' &&
+         std::none_of(name.begin(), name.end(), IsControl);
+}
+
+bool IsForeignRouteHost(std::string_view host) {
+  const auto allowed = [](char c) {
+    const bool upper = c >= 'A' && c <= 'Z';
+    return !IsControl(c) && !upper && c != ' ' && c != '/' && c != ':';
+  };
+  return !host.empty() && host.size() <= kMaxNameSize &&
+         std::all_of(host.begin(), host.end(), allowed);
+}
+
+bool IsForeignPrefix(std::string_view prefix) {
+  const auto allowed = [](char c) {
+    return !IsControl(c) && c != ' ' && c != '?';
+  };
+  return !prefix.empty() && prefix.size() <= kMaxPathSize &&
+         prefix.front() == '/' &&
+         std::all_of(prefix.begin(), prefix.end(), allowed);
+}
+
 std::shared_ptr<const Configuration> ReadConfiguration(const Json& document,
+                                                       NameRules rules,
                                                        Findings& findings) {
-  return Reader(document, findings).Read();
+  return Reader(document, rules, findings).Read();
 }
 
 }  // namespace lentilcross
--- a/src/published_document.cpp
+++ b/src/published_document.cpp
@@ -26,8 +26,8 @@
   return bytes;
 }
 
-DocumentPointer Build(const Json& json, Findings& findings) {
-  auto configuration = ReadConfiguration(json, findings);
+DocumentPointer Build(const Json& json, NameRules rules, Findings& findings) {
+  auto configuration = ReadConfiguration(json, rules, findings);
   if (!configuration) return nullptr;
   auto document = std::make_shared<PublishedDocument>();
   document->cbor = ToCbor(json);
@@ -92,11 +92,11 @@
                                         Findings& findings) {
   const auto json = ParsePublishedText(text, findings);
   if (!json) return nullptr;
-  return Build(*json, findings);
+  return Build(*json, NameRules::kPlain, findings);
 }
 
 DocumentPointer DocumentStore::FromJson(const Json& json, Findings& findings) {
-  return Build(json, findings);
+  return Build(json, NameRules::kForeign, findings);
 }
 
 DocumentPointer DocumentStore::FromCbor(std::string_view bytes,
@@ -106,7 +106,7 @@
   }
   const auto json = ParseCbor(bytes, kDocumentLimits);
   if (!json) return Fail(findings, "malformed CBOR");
-  return Build(*json, findings);
+  return Build(*json, NameRules::kForeign, findings);
 }
 
 DocumentPointer DocumentStore::FromPatch(const PublishedDocument& base,
@@ -123,7 +123,7 @@
   try {
     Json document = Json::from_cbor(base.cbor);
     document.patch_inplace(*operations);
-    return Build(document, findings);
+    return Build(document, NameRules::kForeign, findings);
   } catch (const Json::exception&) {
     return Fail(findings, "patch does not apply");
   }
