Say so when a daemon stays on an older version, and stop confirming it

After a version that a daemon could not read, its next watch came back empty, and the daemon took that for a confirmation of the version before. It told its peers so, and its status and metrics were those of a host that is up to date. A version that a peer sent and that was refused left no line in the log.

Change: an unchanged platform confirms the current version only if the last document from it was not refused. The refused version is in /status, in `lentilcross status` and in two metrics; `configuration-left-behind` repeats it every 30 s, and findings of a peer's document are logged. Because nobody confirms the old version, its age grows on hosts that do not read the store, too. No peer message changes.

The event `configuration-unusable` is gone; each of its findings is now logged as `configuration-refused`, as for other documents. The check for it in store_client became one for the hook with the version, for no confirmation, and for a version that is no JSON.

--- a/include/lentilcross/spread.h
+++ b/include/lentilcross/spread.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -82,8 +83,12 @@
   /// that the limit for published values does not apply.
   Result<void> OnParsedPlatformDocument(const nlohmann::json& document,
                                         Instant now);
-  /// Call when the platform has no version newer than the current one.
+  /// Call when the platform has nothing newer than what it last returned. That
+  /// confirms the current version, unless what it returned was refused.
   void OnPlatformUnchanged(Instant now);
+  /// Call when the platform's newest document cannot be read at all. `version`
+  /// is invalid if it is not known.
+  void OnPlatformRefused(Version version, Findings findings, Instant now);
   void OnPlatformFailure(Instant now);
   /// Handles a Digest, ConfigRequest, ConfigDelta or ConfigSnapshot from a peer
   /// and returns the replies. The caller handles the membership updates of a
@@ -129,6 +134,10 @@
   Duration PlatformRetryDelay(Instant now) const;
   /// Null until the first version is received.
   std::shared_ptr<const Configuration> current() const;
+  /// Version of a newer document, from the platform or a peer, that this
+  /// process has refused: it serves an older one. Invalid if the version could
+  /// not be read; empty if there is no such document.
+  std::optional<Version> refused_version() const;
   /// Findings of the last invalid document; empty after a new version.
   const Findings& last_findings() const;
   const Stats& stats() const;
--- a/src/command_status.cpp
+++ b/src/command_status.cpp
@@ -26,6 +26,12 @@
             << "preset          " << status.value("preset", "") << "\n"
             << "requests        " << status.value("running_requests", 0)
             << "\n";
+  if (const auto refused = status.find("refused_version");
+      refused != status.end() && refused->is_number_unsigned()) {
+    const auto version = refused->get<std::uint64_t>();
+    std::cout << "refused version "
+              << (version == 0 ? "unknown" : std::to_string(version)) << "\n";
+  }
   for (const Json& target : status["targets"]) {
     std::cout << "target          " << target.value("name", "") << " limit "
               << target.value("limit", 0) << " in-flight "
--- a/src/control_loop.cpp
+++ b/src/control_loop.cpp
@@ -22,6 +22,7 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr Duration kStatsInterval = std::chrono::seconds(1);
+constexpr Duration kRefusalLogInterval = std::chrono::seconds(30);
 /// A process that cannot read the registry serves what peers tell it.
 constexpr Duration kLongestRegistryWait = std::chrono::seconds(2);
 /// Messages kept while the ring to the thread `data` is full.
@@ -97,6 +98,12 @@
       spread.OnPlatformUnchanged(steady_clock::now());
       OnPlatformContact(began);
     };
+    hooks.on_refused = [this](Version version, const Findings& findings,
+                              const std::string& source, Instant began) {
+      spread.OnPlatformRefused(version, findings, steady_clock::now());
+      LogFindings(source);
+      OnPlatformContact(began);
+    };
     hooks.on_failure = [this](const std::string& cause) {
       OnPlatformFailure(cause);
     };
@@ -222,6 +229,21 @@
     }
   }
 
+  /// Repeated while this host serves an older version than the newest.
+  void LogRefusedVersion(Instant now) {
+    const auto refused = spread.refused_version();
+    if (!refused) {
+      next_refusal_log = {};
+      return;
+    }
+    if (now < next_refusal_log) return;
+    next_refusal_log = now + kRefusalLogInterval;
+    Log(LogLevel::kError, "configuration-left-behind",
+        {{"version", std::to_string(published.value())},
+         {"refused_version", std::to_string(refused->value())},
+         {"confirmed_ms", MillisecondsText(spread.PlatformAge(now))}});
+  }
+
   // ----- Evacuations
 
   void OnEvacuations(bool first_hand) {
@@ -338,7 +360,11 @@
       }
       SendTo(envelope.host, registry.OnDigest(*digest, now));
     }
+    const std::uint64_t refused = spread.stats().rejected;
     SendAll(spread.OnMessage(envelope.host, envelope.message, now));
+    if (spread.stats().rejected != refused) {
+      LogFindings(NameOf(spread.current().get(), envelope.host));
+    }
     Publish(NameOf(spread.current().get(), envelope.host));
     Step();
   }
@@ -444,6 +470,7 @@
     Publish("registry");
     SendAll(spread.Tick(membership, now, random));
     Step();
+    LogRefusedVersion(now);
     if (now >= next_stats) {
       next_stats = now + kStatsInterval;
       SendStats();
@@ -455,6 +482,8 @@
     stats->config_distributor = spread.stats();
     stats->platform = platform->stats();
     stats->findings = spread.last_findings();
+    stats->refused_version = spread.refused_version();
+    stats->confirmation_age = spread.PlatformAge(steady_clock::now());
     stats->fleet = registry.fleet_stats();
     stats->evacuations = evacuations.stats();
     stats->evacuated = evacuations.active();
@@ -494,6 +523,7 @@
   Instant call_began{};  ///< Of the last call for the configuration.
   Readiness readiness;
   Instant next_stats{};
+  Instant next_refusal_log{};
 };
 
 Result<std::unique_ptr<ControlLoop>> ControlLoop::Create(
--- a/src/daemon_stats.h
+++ b/src/daemon_stats.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -135,6 +136,10 @@
   Version version;
   std::string preset;
   Findings findings;  ///< Of the last invalid document.
+  /// Newer than `version`, but refused; invalid if it could not be read.
+  std::optional<Version> refused_version;
+  /// Since the platform last confirmed `version` to this host or a peer.
+  Duration confirmation_age{};
   std::vector<MemberStatus> members;
   std::vector<TargetStatus> targets;
   std::size_t running_requests = 0;
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -73,6 +73,12 @@
   out.Gauge("configuration_findings",
             "Findings of the last invalid configuration.",
             static_cast<double>(stats.findings.list().size()));
+  out.Gauge("configuration_refused",
+            "1 while a newer version than the active one was refused.",
+            stats.refused_version ? 1 : 0);
+  out.Gauge("configuration_confirmation_age_seconds",
+            "Time since the platform confirmed the active version.",
+            std::chrono::duration<double>(stats.confirmation_age).count());
   out.Gauge("running_requests", "Requests in progress.",
             static_cast<double>(stats.running_requests));
   out.Gauge("tickets_in_use", "Used tickets that are recorded.",
@@ -417,12 +423,16 @@
                              {"draining", stats.draining},
                              {"stale", stats.stale},
                              {"version", stats.version.value()},
+                             {"refused_version", nullptr},
                              {"preset", stats.preset},
                              {"running_requests", stats.running_requests},
                              {"evacuated", stats.evacuated},
                              {"members", nlohmann::json::array()},
                              {"targets", nlohmann::json::array()},
                              {"findings", nlohmann::json::array()}};
+  if (stats.refused_version) {
+    document["refused_version"] = stats.refused_version->value();
+  }
   for (const auto& [host, state, linked] : stats.members) {
     document["members"].push_back(
         {{"host", host}, {"state", state}, {"linked", linked}});
--- a/src/platform_source.h
+++ b/src/platform_source.h
@@ -11,6 +11,7 @@
 #include "daemon_stats.h"
 #include "endpoint.h"
 #include "lentilcross/evacuation.h"
+#include "lentilcross/findings.h"
 #include "lentilcross/registry.h"
 #include "lentilcross/types.h"
 
@@ -32,7 +33,13 @@
     std::function<void(const Document& document, const std::string& source,
                        Instant began)>
         on_document;
+    /// There is nothing newer than what was last reported.
     std::function<void(Instant began)> on_unchanged;
+    /// The newest document cannot be read. `version` is invalid if it is not
+    /// known.
+    std::function<void(Version version, const Findings& findings,
+                       const std::string& source, Instant began)>
+        on_refused;
     std::function<void(const std::string& cause)> on_failure;
     std::function<void(const std::vector<HostState>&)> on_hosts;
     /// The whole registry, or what changed up to a revision; nothing if that
--- a/src/spread.cpp
+++ b/src/spread.cpp
@@ -35,6 +35,14 @@
 // request it from one host.
 constexpr std::size_t kMaxPushedDelta = 65536;
 
+/// Invalid if the document has no readable one.
+Version VersionOf(const nlohmann::json& document) {
+  if (!document.is_object()) return {};
+  const auto found = document.find("version");
+  if (found == document.end() || !found->is_number_unsigned()) return {};
+  return Version(found->get<std::uint64_t>());
+}
+
 }  // namespace
 
 class ConfigDistributor::Impl {
@@ -50,6 +58,8 @@
   Result<void> OnPlatformDocument(std::string_view text, Instant now);
   Result<void> OnParsedPlatformDocument(const nlohmann::json& json,
                                         Instant now);
+  void OnPlatformUnchanged(Instant now);
+  void OnPlatformRefused(Version version, Findings findings, Instant now);
   void OnPlatformResult(CallResult result, Instant now);
   OutgoingList OnMessage(HostId from, const PeerMessage& message, Instant now);
   OutgoingList Tick(Membership& membership, Instant now, Random& random);
@@ -77,6 +87,10 @@
   const PlatformSchedule& platform_schedule() const {
     return platform_schedule_;
   }
+  std::optional<Version> refused_version() const {
+    if (!refused_) return std::nullopt;
+    return refused_->version;
+  }
   const Findings& findings() const { return findings_; }
   const Stats& stats() const { return stats_; }
 
@@ -88,7 +102,11 @@
                           Instant now);
   void Accept(DocumentPointer document, Instant now);
   /// Fails with the findings of an invalid document, but only once for each.
-  Result<void> Refuse(std::uint64_t hash, Findings findings, Instant now);
+  Result<void> Refuse(std::uint64_t hash, Version version, Findings findings,
+                      Instant now);
+  /// Records that a newer document than the current one was refused.
+  enum class Source : std::uint8_t { kPlatform, kPeer };
+  void RecordRefusal(Version version, Source source, Findings findings);
   /// Requests more of a snapshot after the last piece of a window.
   OutgoingList RequestNextPieces(HostId from, const ConfigSnapshot& piece,
                                  Instant now);
@@ -124,7 +142,12 @@
   PeerSelector peer_selector_;
   SnapshotAssembly assembly_;
   Findings findings_;
-  std::optional<Instant> request_sent_;  ///< While a request is pending.
+  struct RefusedDocument {
+    Version version;  ///< Invalid if it could not be read.
+    Source source;
+  };
+  std::optional<RefusedDocument> refused_;  ///< Newer than the current one.
+  std::optional<Instant> request_sent_;     ///< While a request is pending.
   std::optional<Instant> started_;
   Instant next_digest_{};
   Instant last_external_contact_{};  ///< With the platform or another domain.
@@ -155,7 +178,7 @@
   }
   Findings findings;
   DocumentPointer document = document_store_->FromText(text, findings);
-  if (!document) return Refuse(hash, std::move(findings), now);
+  if (!document) return Refuse(hash, Version(), std::move(findings), now);
   Accept(std::move(document), now);
   return {};
 }
@@ -165,21 +188,44 @@
   Findings findings;
   DocumentPointer document = document_store_->FromJson(json, findings);
   if (!document) {
-    return Refuse(HashName(json.dump()), std::move(findings), now);
+    const std::string text = json.dump();
+    return Refuse(HashName(text), VersionOf(json), std::move(findings), now);
   }
   Accept(std::move(document), now);
   return {};
 }
 
 Result<void> ConfigDistributor::Impl::Refuse(std::uint64_t hash,
-                                             Findings findings, Instant now) {
+                                             Version version, Findings findings,
+                                             Instant now) {
   OnPlatformResult(CallResult::kIgnored, now);
   if (std::exchange(rejected_text_hash_, hash) == hash) return {};
-  ++stats_.rejected;
-  findings_ = findings;
+  RecordRefusal(version, Source::kPlatform, findings);
   return boost::leaf::new_error(std::move(findings));
 }
 
+void ConfigDistributor::Impl::OnPlatformRefused(Version version,
+                                                Findings findings,
+                                                Instant now) {
+  RecordRefusal(version, Source::kPlatform, std::move(findings));
+  OnPlatformResult(CallResult::kIgnored, now);
+}
+
+void ConfigDistributor::Impl::OnPlatformUnchanged(Instant now) {
+  // Otherwise this process would tell its peers that an older version is the
+  // newest.
+  const bool refused = refused_ && refused_->source == Source::kPlatform;
+  OnPlatformResult(refused ? CallResult::kIgnored : CallResult::kConfirmed,
+                   now);
+}
+
+void ConfigDistributor::Impl::RecordRefusal(Version version, Source source,
+                                            Findings findings) {
+  ++stats_.rejected;
+  findings_ = std::move(findings);
+  refused_ = RefusedDocument{version, source};
+}
+
 void ConfigDistributor::Impl::Accept(DocumentPointer document, Instant now) {
   if (document->version() <= history_.version()) {
     const bool equal = document->version() == history_.version();
@@ -206,6 +252,8 @@
     return;
   }
   confirmation_due_ = true;
+  // The platform has nothing newer, whatever a peer sent.
+  if (result == CallResult::kConfirmed) refused_.reset();
 }
 
 OutgoingList ConfigDistributor::Impl::OnMessage(HostId from,
@@ -484,6 +532,7 @@
   request_sent_.reset();
   findings_ = Findings();
   rejected_text_hash_ = 0;
+  if (refused_ && refused_->version <= history_.version()) refused_.reset();
   ++stats_.applied;
 }
 
@@ -492,11 +541,10 @@
   if (findings.empty()) {
     findings.Add("/version", "does not match the version of the message");
   }
-  findings_ = std::move(findings);
+  RecordRefusal(version, Source::kPeer, std::move(findings));
   rejected_version_ = version;
   rejected_until_ = now + kRejectedRetryDelay;
   request_sent_.reset();
-  ++stats_.rejected;
 }
 
 void ConfigDistributor::Impl::RecordSenderDomain(HostId from, Instant now) {
@@ -564,7 +612,11 @@
   return impl_->OnParsedPlatformDocument(document, now);
 }
 void ConfigDistributor::OnPlatformUnchanged(Instant now) {
-  impl_->OnPlatformResult(CallResult::kConfirmed, now);
+  impl_->OnPlatformUnchanged(now);
+}
+void ConfigDistributor::OnPlatformRefused(Version version, Findings findings,
+                                          Instant now) {
+  impl_->OnPlatformRefused(version, std::move(findings), now);
 }
 void ConfigDistributor::OnPlatformFailure(Instant now) {
   impl_->OnPlatformResult(CallResult::kFailed, now);
@@ -610,6 +662,9 @@
   const DocumentPointer& document = impl_->history().current();
   return document ? document->configuration : nullptr;
 }
+std::optional<Version> ConfigDistributor::refused_version() const {
+  return impl_->refused_version();
+}
 const Findings& ConfigDistributor::last_findings() const {
   return impl_->findings();
 }
--- a/src/stats_snapshot.cpp
+++ b/src/stats_snapshot.cpp
@@ -72,6 +72,8 @@
   stats.spread = control.config_distributor;
   stats.platform = control.platform;
   stats.findings = control.findings;
+  stats.refused_version = control.refused_version;
+  stats.confirmation_age = control.confirmation_age;
   stats.fleet = control.fleet;
   stats.evacuations = control.evacuations;
   stats.evacuated = control.evacuated;
--- a/src/thread_messages.h
+++ b/src/thread_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -54,6 +55,8 @@
   ConfigDistributor::Stats config_distributor;
   PlatformClientStats platform;
   Findings findings;
+  std::optional<Version> refused_version;
+  Duration confirmation_age{};
   FleetTracker::Stats fleet;
   EvacuationTable::Stats evacuations;
   std::vector<std::string> evacuated;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -34,6 +34,11 @@
       documents.push_back(std::get<nlohmann::json>(document).dump());
     };
     hooks.on_unchanged = [this](Instant) { ++unchanged; };
+    hooks.on_refused = [this](Version version, const Findings& findings,
+                              const std::string&, Instant) {
+      refused.push_back(version);
+      BOOST_TEST(!findings.empty());
+    };
     hooks.on_failure = [this](const std::string&) { ++failures; };
     hooks.on_registry = [this](const Fleet& whole) {
       registry.OnSnapshot(whole, std::chrono::steady_clock::now());
@@ -79,6 +84,7 @@
   boost::asio::io_context io;
   std::vector<std::string> documents;
   std::vector<std::string> events;
+  std::vector<Version> refused;
   int unchanged = 0;
   int failures = 0;
   Registry registry{Registry::Init{}};
@@ -156,9 +162,22 @@
   Setup setup;
   setup.store.Put("op/config", R"({"version": "r4", "services": 5})");
   setup.client->Read(Version(), Duration::zero());
-  BOOST_TEST(setup.RunUntil([&] { return setup.failures == 1; }));
-  BOOST_TEST(setup.Saw("configuration-unusable"));
+  BOOST_REQUIRE(setup.RunUntil([&] { return setup.refused.size() == 1; }));
+  BOOST_TEST((setup.refused[0] == Version(4)));
   BOOST_TEST(setup.documents.empty());
+  BOOST_TEST(setup.unchanged == 0);
+  // It is translated once, and a version that cannot be read at all is no less
+  // a refusal.
+  setup.client->Read(Version(3), Duration::zero());
+  BOOST_TEST(setup.RunUntil([&] { return !setup.client->reading(); }));
+  BOOST_TEST(setup.refused.size() == 1U);
+  setup.store.Put("op/config", R"({"version": "r5", "serv)");
+  setup.client->Read(Version(3), milliseconds(200));
+  BOOST_REQUIRE(setup.RunUntil([&] { return setup.refused.size() == 2; }));
+  BOOST_TEST(!setup.refused[1].valid());
+  setup.store.Put("op/config", MakeOperatorConfiguration(6).dump());
+  setup.client->Read(Version(3), milliseconds(200));
+  BOOST_TEST(setup.RunUntil([&] { return setup.documents.size() == 1; }));
 }
 
 BOOST_AUTO_TEST_CASE(registrations_are_read_in_pages_and_watched) {
