Require no key under a version without tenants

Cause: the adapter opened a route only for its own flag `public`. A version without tenants became a document without organisations and keys, in which every other route asked for a key that nobody could have. Nothing told an absent member from an empty list.

An empty list has no tenant, so that every key is unknown and routes stay closed. A member of a wrong type, null included, refuses the version, and so do keys listed outside `tenants`, as under a damaged name. Of two entries for one route, the closed one counts.

Open routes used to carry calls of targets alone. Requests on them passed the entry gate, so that without keys an overload further down would have been refused only after work was done. A request now counts as such a call by the importance of a public route or by the request it belongs to. Requests that wait when such a version comes are served: the key and the rate limit that they waited for are no longer asked for (also when a route becomes public).

--- a/src/data_state.cpp
+++ b/src/data_state.cpp
@@ -18,6 +18,18 @@
 
 }  // namespace
 
+bool DataState::IsOpen(RouteId route) const {
+  if (!configuration) return false;
+  const auto it = configuration->route_index.find(route);
+  return it != configuration->route_index.end() &&
+         configuration->routes[it->second].open;
+}
+
+bool DataState::StillAdmits(const std::optional<KeyRing::Lookup>& key,
+                            RouteId route) const {
+  return !key || keys.IsStillValid(*key) || IsOpen(route);
+}
+
 Result<std::unique_ptr<DataState>> DataState::Create(const DaemonInit& init,
                                                      Incarnation incarnation,
                                                      Scheduler& scheduler) {
--- a/src/data_state.h
+++ b/src/data_state.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "daemon_init.h"
@@ -75,6 +76,15 @@
 
   Instant Now() const { return scheduler.Now(); }
 
+  /// Whether the configuration in force lists the route and requires no key on
+  /// it.
+  bool IsOpen(RouteId route) const;
+  /// Rechecks a request after a wait, in which a new configuration may have
+  /// come into force. False if its key does not hold any more and its route
+  /// still requires one. True without a key.
+  bool StillAdmits(const std::optional<KeyRing::Lookup>& key,
+                   RouteId route) const;
+
   std::uint64_t last_call = 0;
   /// Returns increasing numbers, as the receiver's `DispatchFence` requires.
   CallNumber NextCall() { return CallNumber(++last_call); }
--- a/src/outgoing_calls.cpp
+++ b/src/outgoing_calls.cpp
@@ -182,8 +182,7 @@
   }
 
   void SendCall(const OutgoingPtr& out) {
-    const auto& key = out->request.key;
-    if (key && !state.keys.IsStillValid(*key)) {
+    if (!state.StillAdmits(out->request.key, out->request.route)) {
       EndAttempt(out, MakeNotRunReply(out->call, Reason::kWithdrawnKey,
                                       "API key withdrawn"));
       return;
--- a/src/request_pipeline.cpp
+++ b/src/request_pipeline.cpp
@@ -133,7 +133,7 @@
     context.importance = ImportanceOf(entry);
     context.version = entry.configuration->version;
     context.entry_host = state.self;
-    if (IsOnwardCall(entry)) InheritParentContext(entry);
+    if (MayBeOnwardCall(entry)) InheritParentContext(entry);
   }
 
   /// Binds the request to the home regions of its route and organisation, or of
@@ -268,9 +268,17 @@
 
   /// Without a context header in the dialect, targets make their onward calls
   /// over open routes of this listener.
-  bool IsOnwardCall(const EntryRequest& entry) const {
+  bool MayBeOnwardCall(const EntryRequest& entry) const {
     return entry.route->open && state.dialect.context.empty();
   }
+  /// If no route requires a key, callers use open routes, too. Their requests
+  /// are told from calls of targets by the importance of the routes that are
+  /// meant for these, and by the request that a call belongs to.
+  bool IsOnwardCall(const EntryRequest& entry) const {
+    return MayBeOnwardCall(entry) &&
+           (entry.route->importance == Importance::kCritical ||
+            !entry.parent_token.empty());
+  }
 
   static bool IsUnlimited(const EntryRequest& entry) {
     const auto& organisations = entry.configuration->organisations;
@@ -282,7 +290,12 @@
                  const RateWaitQueue::Result& result) {
     entry->wait = 0;
     if (entry->ended) return;
-    if (entry->key && !state.keys.IsStillValid(*entry->key)) {
+    if (state.IsOpen(entry->route->id)) {
+      // The rate limit that the request waited for is gone with its key.
+      CheckEntryGate(entry);
+      return;
+    }
+    if (!state.StillAdmits(entry->key, entry->route->id)) {
       Refuse(entry, Reason::kWithdrawnKey,
              "API key withdrawn during a wait for the rate limit");
       return;
--- a/src/target_calls.cpp
+++ b/src/target_calls.cpp
@@ -267,8 +267,7 @@
   // ----- Running
 
   void Start(const RunningCallPtr& running) {
-    const auto& key = running->options.key;
-    if (key && !state.keys.IsStillValid(*key)) {
+    if (!state.StillAdmits(running->options.key, running->call.route)) {
       Refuse(running, Reason::kWithdrawnKey,
              "API key withdrawn while the call was queued", {});
       return;
--- a/tests/onward_context_test.cpp
+++ b/tests/onward_context_test.cpp
@@ -87,7 +87,9 @@
   std::map<Handle, std::function<void(Result&&)>> done_;
 };
 
-matrix::Json Document() {
+enum class Keys : std::uint8_t { kRequired, kNone };
+
+matrix::Json Document(Keys keys) {
   matrix::Json document = matrix::ControlDocument({"a1"});
   for (const std::string service : {"stock", "deposits", "ledger"}) {
     document["services"][service]["targets"] = {
@@ -101,13 +103,18 @@
                         {"open", open},
                         {"timeout_ms", 800}};
   };
-  document["routes"]["/stock"] = route("stock", "background", false);
-  document["routes"]["/deposits"] = route("deposits", "standard", false);
+  const bool open = keys == Keys::kNone;
+  document["routes"]["/stock"] = route("stock", "background", open);
+  document["routes"]["/deposits"] = route("deposits", "standard", open);
   document["routes"]["/ledger"] = route("ledger", "critical", true);
   document["organisations"]["coopers"]["rate"] = 10000;
   document["organisations"]["coopers"]["burst"] = 10000;
   document["presets"]["ordinary"]["extra_attempts"] = 0;
   document["presets"]["ordinary"]["queue_ms"] = 200;
+  if (keys == Keys::kNone) {
+    document["organisations"] = matrix::Json::object();
+    document["keys"] = matrix::Json::object();
+  }
   return document;
 }
 
@@ -150,7 +157,7 @@
 
 class Site {
  public:
-  Site()
+  explicit Site(Keys keys = Keys::kRequired)
       : process_(time_),
         state_(DataState::Create(MakeInit(), Incarnation(1), process_).value()),
         target_(process_,
@@ -167,15 +174,20 @@
                   [this](std::uint64_t exchange, const HttpResponse& response) {
                     OnResponse(exchange, response);
                   }) {
-    const auto configuration = WithSlots(*matrix::ParseDocument(Document()));
+    Apply(Document(keys));
+    state_->ready = true;
+    Tick();
+    time_.RunUntil(time_.Now() + seconds(5));  // Quota increases take effect.
+  }
+
+  void Apply(const matrix::Json& document) {
+    const auto configuration = WithSlots(*matrix::ParseDocument(document));
     state_->configuration = configuration;
     state_->keys.Apply(*configuration);
     state_->rate.Apply(configuration, time_.Now());
     state_->router.Apply(configuration, time_.Now());
     targets_.OnConfiguration(*configuration);
-    state_->ready = true;
-    Tick();
-    time_.RunUntil(time_.Now() + seconds(5));  // Quota increases take effect.
+    waits_.Retry();
   }
 
   /// Sends both kinds of requests at these mean rates per second.
@@ -186,6 +198,14 @@
     time_.RunUntil(end + seconds(1));
   }
   void StartCounting() { outcomes.clear(); }
+  /// Sends this many lookups at once and lets them come to a decision or a
+  /// wait.
+  void Burst(int lookups) {
+    for (int i = 0; i < lookups; ++i) Send("/stock");
+    time_.RunUntil(time_.Now() + milliseconds(5));
+  }
+  void RunFor(Duration duration) { time_.RunUntil(time_.Now() + duration); }
+  std::size_t waiting() const { return waits_.waiting(); }
 
   std::map<std::string, Outcome> outcomes;
   int organisations_named() const { return target_.organisations_named; }
@@ -261,11 +281,7 @@
   std::map<std::uint64_t, std::uint64_t> parents_;
 };
 
-// Guards against requests that fail at an overloaded service further down the
-// chain, after other targets have worked on them. The load is twice what the
-// ledger service can serve; deposits are few and more important than lookups.
-BOOST_AUTO_TEST_CASE(overload_further_down_is_refused_at_entry) {
-  Site site;
+void CheckOverload(Site& site) {
   site.Run(seconds(3), 320, 80);
   site.StartCounting();
   site.Run(seconds(10), 320, 80);
@@ -277,6 +293,41 @@
   BOOST_TEST(lookups.refused >= 3 * lookups.wasted);
 }
 
+// Guards against requests that fail at an overloaded service further down the
+// chain, after other targets have worked on them. The load is twice what the
+// ledger service can serve; deposits are few and more important than lookups.
+BOOST_AUTO_TEST_CASE(overload_further_down_is_refused_at_entry) {
+  Site site;
+  CheckOverload(site);
+}
+
+// The same without keys. Guards against requests that pass the entry gate as if
+// they were calls of targets, because their routes are open, too.
+BOOST_AUTO_TEST_CASE(overload_without_keys_is_refused_at_entry) {
+  Site site(Keys::kNone);
+  CheckOverload(site);
+}
+
+// Guards against 401 and 429 for requests that wait for the rate of their
+// organisation when a version without organisations comes into force.
+BOOST_AUTO_TEST_CASE(waiting_requests_are_served_once_no_key_is_required) {
+  Site site;
+  matrix::Json document = Document(Keys::kRequired);
+  document["version"] = 2;
+  document["organisations"]["coopers"]["rate"] = 20;
+  document["organisations"]["coopers"]["burst"] = 1;
+  site.Apply(document);
+  site.RunFor(seconds(5));
+  site.Burst(6);
+  BOOST_REQUIRE(site.waiting() > 0U);
+  document = Document(Keys::kNone);
+  document["version"] = 3;
+  site.Apply(document);
+  site.RunFor(seconds(1));
+  BOOST_TEST(site.waiting() == 0U);
+  BOOST_TEST(site.outcomes["/stock"].served == 6);
+}
+
 // Guards against naming the organisation to the target of an open route.
 BOOST_AUTO_TEST_CASE(calls_on_open_routes_name_no_organisation) {
   Site site;
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,5 +1,6 @@
 #include "wire.h"
 
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -9,6 +10,8 @@
 #include "lentilcross/keys.h"
 #include "lentilcross/registry.h"
 #include "platform/documents.h"
+#include "platform/large_values.h"
+#include "published_document.h"
 #include "result.h"
 
 namespace lentilcross::platform {
@@ -17,6 +20,7 @@
 namespace data = boost::unit_test::data;
 using Json = nlohmann::json;
 using ConfigurationPointer = std::shared_ptr<const Configuration>;
+using testing::kValueBytes;
 using testing::MakeOperatorConfiguration;
 using testing::MakeRegistration;
 
@@ -184,6 +188,130 @@
   BOOST_TEST(places == expected, boost::test_tools::per_element());
 }
 
+/// Prefixes of the routes that need no key.
+std::vector<std::string> OpenRoutes(const Configuration& configuration) {
+  std::vector<std::string> prefixes;
+  for (const RouteEntry& route : configuration.routes) {
+    if (route.open) prefixes.push_back(route.prefix);
+  }
+  std::sort(prefixes.begin(), prefixes.end());
+  return prefixes;
+}
+
+const std::vector<std::string> kAllRoutes = {"/book/", "/look/"};
+
+// Guards against 401 for requests that have no key to carry, and against open
+// routes after the last tenant was taken out of the list.
+BOOST_AUTO_TEST_CASE(absent_tenants_open_routes_and_an_empty_list_does_not) {
+  Json source = MakeOperatorConfiguration(1);
+  BOOST_TEST(OpenRoutes(*Read(source)).empty());
+  source["tenants"] = Json::array();
+  BOOST_TEST(OpenRoutes(*Read(source)).empty());
+  source.erase("tenants");
+  const auto configuration = Read(source);
+  BOOST_TEST(OpenRoutes(*configuration) == kAllRoutes,
+             boost::test_tools::per_element());
+  // Only routes marked as public carry the calls of targets.
+  BOOST_TEST((configuration->FindRoute("shop.example", "/look/")->importance ==
+              Importance::kBackground));
+}
+
+// Guards against a damaged member that is taken for an absent or an empty one:
+// of tenants, that would open routes; of home regions, lift their bounds.
+BOOST_DATA_TEST_CASE(
+    unreadable_member_refuses_the_version,
+    data::make({R"({"tenants": 5})", R"({"tenants": {}})", R"({"tenants": ""})",
+                R"({"tenants": [null]})", R"({"tenants": [[]]})",
+                R"({"tenants": [{}]})",
+                R"({"tenants": [{"name": "x", "api-keys": null}]})",
+                R"({"tenants": [{"name": "x", "home-regions": {}}]})",
+                R"({"tenants": null, "Tenants": [{"api-keys": ["k"]}]})",
+                R"({"tenants": null, "tenant": {"x": {"api-keys": []}}})",
+                R"({"tenants": null, "api-keys": ["k"]})"}),
+    patch) {
+  Json source = MakeOperatorConfiguration(1);
+  source.merge_patch(Json::parse(patch));
+  BOOST_TEST(!Translate(source).value);
+}
+
+// `merge_patch` drops members that are null.
+BOOST_DATA_TEST_CASE(null_member_refuses_the_version,
+                     data::make({"/tenants", "/tenants/0/home-regions",
+                                 "/virtual-hosts/0/paths/0/home-regions",
+                                 "/virtual-hosts/0/paths/0/public",
+                                 "/virtual-hosts/0/paths/0/split"}),
+                     pointer) {
+  Json source = MakeOperatorConfiguration(1);
+  source[Json::json_pointer(pointer)] = nullptr;
+  BOOST_TEST(!Translate(source).value);
+}
+
+// Guards against a version damaged in one byte, or cut, that opens a route.
+BOOST_AUTO_TEST_CASE(no_damaged_byte_opens_a_route) {
+  const std::string text = MakeOperatorConfiguration(1).dump();
+  std::size_t translated = 0;
+  const auto check = [&translated](const std::string& damaged) {
+    const auto result = Capture<Translation>(
+        [&] { return TranslateConfiguration(damaged, kDomains); });
+    if (!result.value) return;
+    ++translated;
+    for (const auto& [name, route] : result.value->document["routes"].items()) {
+      BOOST_TEST(!route["open"].get<bool>(), damaged);
+    }
+  };
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    check(text.substr(0, i));
+    check(text.substr(0, i) + text.substr(i + 1));
+    for (const char byte : {' ', '"', '0', 'x', '}', ']', ','}) {
+      std::string damaged = text;
+      damaged[i] = byte;
+      check(damaged);
+    }
+  }
+  BOOST_TEST(translated > text.size());
+}
+
+// Guards against two entries for one route of which the one without a key wins.
+BOOST_AUTO_TEST_CASE(route_listed_twice_is_open_only_if_both_are) {
+  Json source = MakeOperatorConfiguration(1);
+  Json& routes = source["virtual-hosts"][0]["paths"];
+  routes.push_back(routes[0]);
+  routes[2]["public"] = true;
+  BOOST_TEST(OpenRoutes(*Read(source)).empty());
+  routes[0]["public"] = true;
+  BOOST_TEST(OpenRoutes(*Read(source)).size() == 1U);
+}
+
+// Guards against a peer that opens or closes other routes than the host that
+// read the version, by a snapshot or by a delta.
+BOOST_AUTO_TEST_CASE(peers_open_the_same_routes) {
+  DocumentStore store;
+  Findings findings;
+  DocumentPointer last;
+  for (const int version : {1, 2, 3}) {
+    Json source = MakeOperatorConfiguration(version);
+    if (version == 2) source.erase("tenants");
+    const auto document =
+        store.FromJson(Translate(source).value->document, findings);
+    BOOST_REQUIRE_MESSAGE(document, findings.Format("document"));
+    const auto expected =
+        version == 2 ? kAllRoutes : std::vector<std::string>();
+    const auto check = [&](const DocumentPointer& received) {
+      BOOST_REQUIRE_MESSAGE(received, findings.Format("document"));
+      BOOST_TEST(received->checksum == document->checksum);
+      BOOST_TEST(OpenRoutes(*received->configuration) == expected,
+                 boost::test_tools::per_element());
+    };
+    check(store.FromCbor(document->cbor, findings));
+    if (last) {
+      const auto patch = MakePatch(*last, *document, kValueBytes);
+      BOOST_REQUIRE(patch);
+      check(store.FromPatch(*last, *patch, findings));
+    }
+    last = document;
+  }
+}
+
 // Guards against a forgotten check of one member: every fault is a finding with
 // its place, and no document comes out.
 BOOST_DATA_TEST_CASE(
