--- a/src/configuration_bounds.h
+++ b/src/configuration_bounds.h
@@ -11,8 +11,8 @@
 
 namespace lentilcross {
 
-// Largest values that a configuration document may hold. A platform adapter
-// must not compose a document beyond them: every host would refuse it.
+// Bounds of the values in a configuration document. Every host refuses a
+// document beyond them, so that a platform adapter has to keep to them.
 
 // A longer timeout would keep call records and fences for too long.
 inline constexpr Duration kMaxRouteTimeout = std::chrono::minutes(10);
@@ -21,6 +21,7 @@
 inline constexpr Duration kMaxIdleTimeout = std::chrono::hours(1);
 /// Of rates, bursts and cold rates.
 inline constexpr double kMaxRate = kMaxQuantity;
+/// Of organisations and of the parts of a split.
 inline constexpr double kMinWeight = 1e-3;
 inline constexpr double kMaxWeight = 1e6;
 /// Of one request, with the first.
